Count and log rejected input, failed attempts and answers with the request's id

The inherited log tells of ejections and overload only; no line names a request. No decision changes. The start-up now notices an interrupt even where the bind has already returned, which made an inherited test depend on timing.

--- a/src/main/java/junctionhead/net/ClientServer.java
+++ b/src/main/java/junctionhead/net/ClientServer.java
@@ -5,6 +5,7 @@
 import io.netty.buffer.ByteBufUtil;
 import io.netty.buffer.Unpooled;
 import io.netty.channel.Channel;
+import io.netty.channel.ChannelFuture;
 import io.netty.channel.ChannelFutureListener;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInboundHandlerAdapter;
@@ -22,6 +23,7 @@
 import io.netty.handler.codec.http.HttpHeaders;
 import io.netty.handler.codec.http.HttpMethod;
 import io.netty.handler.codec.http.HttpObjectAggregator;
+import io.netty.handler.codec.http.HttpRequest;
 import io.netty.handler.codec.http.HttpResponseStatus;
 import io.netty.handler.codec.http.HttpServerCodec;
 import io.netty.handler.codec.http.HttpUtil;
@@ -54,25 +56,29 @@
     private final Dispatcher dispatcher;
     private final Descriptors descriptors;
     private final BooleanSupplier shedIdleUpstream;
+    private final Events events;
     private final Set<Client> idle = new LinkedHashSet<>(); // the longest idle first
     private Channel listener;
+    private long clients;                           // that have ever connected
     private boolean ready;
     private boolean stopping;
     private Rehearsal rehearsal;                    // while it is on
 
     ClientServer(EventLoop loop, SettingsReader.Boot boot, Dispatcher dispatcher, Descriptors descriptors,
-            BooleanSupplier shedIdleUpstream) {
+            BooleanSupplier shedIdleUpstream, Events events) {
         this.loop = loop;
         this.boot = boot;
         this.dispatcher = dispatcher;
         this.descriptors = descriptors;
         this.shedIdleUpstream = shedIdleUpstream;
+        this.events = events;
     }
 
     /** Listens; called from another thread than the loop's, and returns the address in use. */
     InetSocketAddress listen(InetSocketAddress at) throws IOException {
         try {
-            Channel bound = new ServerBootstrap().group(loop, loop).channel(NioServerSocketChannel.class)
+            ChannelFuture binding = new ServerBootstrap().group(loop, loop)
+                .channel(NioServerSocketChannel.class)
                 // Known before it listens: on a slow machine a connection came in before bind had returned
                 // to the starting thread, found no listener, and was dropped unanswered.
                 .handler(new ChannelInitializer<Channel>() {
@@ -91,8 +97,11 @@
                             new HttpObjectAggregator(Upstreams.BODY_MOST), client);
                         client.opened();
                     }
-                }).bind(at).sync().channel();
-            return (InetSocketAddress) bound.localAddress();
+                }).bind(at);
+            if (Thread.interrupted()) {
+                throw new InterruptedException();   // sync() looks only while the bind is still under way
+            }
+            return (InetSocketAddress) binding.sync().channel().localAddress();
         } catch (InterruptedException e) {
             Thread.currentThread().interrupt();
             throw new IOException("interrupted");
@@ -138,6 +147,10 @@
         private final ArrayDeque<FullHttpRequest> ahead = new ArrayDeque<>();
         private Runnable gone;                      // set while the module owes an answer here
         private boolean receiving;
+        private final long number = ++clients;
+        private long requests;
+        private String current;                     // the id of the last request that was handled
+        private String framing;                     // what its headers said of its length
 
         Client(Channel channel) {
             this.channel = channel;
@@ -165,6 +178,8 @@
         protected void channelRead0(ChannelHandlerContext context, FullHttpRequest request) {
             receiving = false;
             if (gone != null) {
+                events.tell(Events.Kind.PIPELINED, request.headers().get("Req-Id"),
+                    () -> "behind " + current + " framed by " + framing + ", " + this);
                 ahead.add(request.retain());
                 if (ahead.size() > PIPELINED_MOST) {
                     channel.close();
@@ -176,9 +191,12 @@
 
         private void handle(FullHttpRequest request) {
             idle.remove(this);
+            requests++;
+            current = request.headers().get("Req-Id");
             boolean keep = HttpUtil.isKeepAlive(request);
             String path = request.uri();
             if (!request.decoderResult().isSuccess()) {
+                reject(request, "malformed: " + request.decoderResult().cause());
                 plain(HttpResponseStatus.BAD_REQUEST, "malformed request", false);
             } else if (rehearsal != null && path.equals(Rehearsal.HOP)) {
                 boolean declined = rehearsal.declines();
@@ -195,6 +213,7 @@
                 try {
                     order = order(request);
                 } catch (IllegalArgumentException e) {
+                    reject(request, e.getMessage());
                     plain(HttpResponseStatus.BAD_REQUEST, e.getMessage(), keep);
                     return;
                 }
@@ -209,6 +228,15 @@
             }
         }
 
+        private void reject(FullHttpRequest request, String why) {
+            events.tell(Events.Kind.REJECTED, request.headers().get("Req-Id"), () -> why + ", " + this);
+        }
+
+        @Override
+        public String toString() {
+            return "client " + number + " request " + requests;
+        }
+
         private void plain(HttpResponseStatus status, String text, boolean keep) {
             ByteBuf body = Unpooled.copiedBuffer(text + "\n", StandardCharsets.UTF_8);
             write(status, body, "text/plain", null, null, keep);
@@ -259,6 +287,12 @@
             @Override
             public void channelRead(ChannelHandlerContext context, Object part) {
                 receiving = true;
+                if (part instanceof HttpRequest request && gone == null) {
+                    HttpHeaders headers = request.headers();
+                    framing = "length " + headers.getAll(HttpHeaderNames.CONTENT_LENGTH) + " coding "
+                        + headers.getAll(HttpHeaderNames.TRANSFER_ENCODING) + " expect "
+                        + headers.getAll(HttpHeaderNames.EXPECT);
+                }
                 idle.remove(Client.this);
                 context.fireChannelRead(part);
             }
--- a/src/main/java/junctionhead/net/Descriptors.java
+++ b/src/main/java/junctionhead/net/Descriptors.java
@@ -22,6 +22,11 @@
         open--;
     }
 
+    @Override
+    public String toString() {
+        return open + " of " + most + " sockets open";
+    }
+
     boolean full() {
         return open >= most;
     }
--- a/src/main/java/junctionhead/net/Dispatcher.java
+++ b/src/main/java/junctionhead/net/Dispatcher.java
@@ -57,14 +57,16 @@
     private static final class Attempt {
         final Exchange exchange;
         final int number;
+        final String server;
         final long at;
         Upstreams.Call call;
         Future<?> timer;
         boolean ended;
 
-        Attempt(Exchange exchange, int number, long at) {
+        Attempt(Exchange exchange, int number, String server, long at) {
             this.exchange = exchange;
             this.number = number;
+            this.server = server;
             this.at = at;
         }
     }
@@ -73,6 +75,7 @@
     private final SettingsReader.Boot boot;
     private final Policy policy;
     private final Consumer<String> log;
+    private final Events events;
     private final long unixAtStart = System.currentTimeMillis() * 1000;
     private final long nanosAtStart = System.nanoTime();
     private final Map<String, Exchange> table = new HashMap<>();
@@ -87,11 +90,13 @@
     private int owed;
     private Runnable whenIdle;
 
-    Dispatcher(EventLoop loop, SettingsReader.Boot boot, Policy policy, Consumer<String> log) {
+    Dispatcher(EventLoop loop, SettingsReader.Boot boot, Policy policy, Consumer<String> log,
+            Events events) {
         this.loop = loop;
         this.boot = boot;
         this.policy = policy;
         this.log = log;
+        this.events = events;
     }
 
     /** {@code by} may be null: a rehearsal has no discovery. */
@@ -203,6 +208,10 @@
             close(x);
             x.reply.serve(answer);
         }
+        if (outcome != Policy.Outcome.OK) {
+            events.tell(Events.Kind.ATTEMPT, x.order.id(), () -> a.number + " to " + a.server + " " + outcome
+                + " after " + latency / 1000 + " ms" + (x.closed ? ", the request was closed" : ""));
+        }
         hand(now -> policy.outcome(now, x.id, a.number, outcome, latency, x.closed, load, this));
         forget(x);
     }
@@ -236,6 +245,11 @@
         }
     }
 
+    private String history(Exchange x) {
+        return x.attempts.size() + " attempts, " + (x.deadline - now()) / 1000 + " ms left of "
+            + x.order.timeLeft() / 1000;
+    }
+
     String summary() {
         return taken + " requests taken, " + owed + " unanswered, " + guarded + " last-resort answers, "
             + faults + " faults";
@@ -250,7 +264,7 @@
             return;
         }
         long now = now();
-        Attempt a = new Attempt(x, x.attempts.size(), now);
+        Attempt a = new Attempt(x, x.attempts.size(), server, now);
         x.attempts.add(a);
         x.out++;
         long left = x.deadline - GUARD - LAST_WORD - now;
@@ -270,6 +284,7 @@
         Exchange x = table.get(request);
         if (x != null && !x.closed) {
             close(x);
+            events.tell(Events.Kind.REFUSED, x.order.id(), () -> history(x));
             x.reply.refuse(retryAfter);
             forget(x);
         }
@@ -280,6 +295,7 @@
         Exchange x = table.get(request);
         if (x != null && !x.closed) {
             close(x);
+            events.tell(Events.Kind.FAILED, x.order.id(), () -> history(x));
             x.reply.fail();
             forget(x);
         }
--- a/src/main/java/junctionhead/net/Node.java
+++ b/src/main/java/junctionhead/net/Node.java
@@ -17,7 +17,10 @@
     private static final long LINGER_MS = 600;      // after SIGTERM: clients go on coming for a while
     private static final long FLUSH_MS = 20;        // for the last answers to leave
 
+    private static final long COUNTERS_S = 5;       // between looks at the counters
+
     private final Consumer<String> log;
+    private final Events events;
     private final NioEventLoopGroup group = new NioEventLoopGroup(1);
     private final EventLoop loop = group.next();
     private final Dispatcher dispatcher;
@@ -25,6 +28,7 @@
     private final Discovery discovery;
     private final ClientServer clients;
     private final Config config;
+    private final Descriptors descriptors;
     private final CountDownLatch stopped = new CountDownLatch(1);
     private boolean hasList;
     private boolean rehearsed;
@@ -35,13 +39,15 @@
         this.rehearsed = !rehearse;
         this.config = config;
         this.log = log;
-        Descriptors descriptors = new Descriptors(config.sockets());
+        descriptors = new Descriptors(config.sockets());
         Policy policy = module.apply(config.boot().settings(), config.seed());
-        dispatcher = new Dispatcher(loop, config.boot(), policy, log);
-        upstreams = new Upstreams(loop, config.boot(), descriptors, dispatcher::now);
+        events = new Events(log, System::nanoTime);
+        dispatcher = new Dispatcher(loop, config.boot(), policy, log, events);
+        upstreams = new Upstreams(loop, config.boot(), descriptors, dispatcher::now, events);
         discovery = new Discovery(loop, config.discovery(), config.boot(), config.known().rev(),
             this::listed, log);
-        clients = new ClientServer(loop, config.boot(), dispatcher, descriptors, upstreams::shedIdle);
+        clients = new ClientServer(loop, config.boot(), dispatcher, descriptors, upstreams::shedIdle,
+            events);
         dispatcher.attach(upstreams, discovery);
     }
 
@@ -79,6 +85,9 @@
         loop.execute(() -> {
             listed(Policy.ListKind.PERSISTED, config.known());
             discovery.start();
+            loop.scheduleWithFixedDelay(
+                () -> events.summary(() -> dispatcher.summary() + ", " + descriptors),
+                COUNTERS_S, COUNTERS_S, TimeUnit.SECONDS);
             if (!rehearsed) {
                 Rehearsal rehearsal = new Rehearsal(loop, config, () -> {
                     rehearsed = true;
@@ -123,7 +132,7 @@
             dispatcher.whenIdle(() -> loop.schedule(stopped::countDown, FLUSH_MS, TimeUnit.MILLISECONDS));
         }, LINGER_MS, TimeUnit.MILLISECONDS);
         await();
-        log.accept("stopped: " + dispatcher.summary());
+        log.accept("stopped: " + dispatcher.summary() + "; " + events);
         group.shutdownGracefully(0, 1, TimeUnit.SECONDS);
     }
 
--- a/src/main/java/junctionhead/net/Order.java
+++ b/src/main/java/junctionhead/net/Order.java
@@ -9,6 +9,11 @@
  */
 record Order(HttpMethod method, String uri, HttpHeaders headers, byte[] body, int requestClass, int tenant,
         String key, long timeLeft, long work, boolean resubmission) {
+    /** The client's name for it, for the log. */
+    String id() {
+        return headers.get("Req-Id");
+    }
+
     /** The same for another path. */
     Order to(String other) {
         return new Order(method, other, headers, body, requestClass, tenant, key, timeLeft, work,
--- a/src/main/java/junctionhead/net/Rehearsal.java
+++ b/src/main/java/junctionhead/net/Rehearsal.java
@@ -47,10 +47,11 @@
         this.boot = config.boot();
         this.then = then;
         Policy policy = new Balance(boot.settings(), config.seed());
-        dispatcher = new Dispatcher(loop, boot, policy, line -> { });
+        Events quiet = new Events(line -> { }, System::nanoTime);
+        dispatcher = new Dispatcher(loop, boot, policy, line -> { }, quiet);
         Descriptors descriptors = new Descriptors(config.sockets());
-        back = new Upstreams(loop, boot, descriptors, dispatcher::now);
-        front = new Upstreams(loop, boot, descriptors, dispatcher::now);
+        back = new Upstreams(loop, boot, descriptors, dispatcher::now, quiet);
+        front = new Upstreams(loop, boot, descriptors, dispatcher::now, quiet);
         dispatcher.attach(back, null);
     }
 
--- a/src/main/java/junctionhead/net/Upstreams.java
+++ b/src/main/java/junctionhead/net/Upstreams.java
@@ -21,6 +21,7 @@
 import io.netty.handler.codec.http.HttpStatusClass;
 import io.netty.handler.codec.http.HttpUtil;
 import io.netty.handler.codec.http.HttpVersion;
+import java.io.IOException;
 import java.net.InetSocketAddress;
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayDeque;
@@ -64,17 +65,19 @@
     private final SettingsReader.Boot boot;
     private final Descriptors descriptors;
     private final LongSupplier clock;
+    private final Events events;
     private final Bootstrap bootstrap;
     private final long idleMost;
     private final Map<String, Upstream> upstreams = new HashMap<>();
     private Future<?> sweep;
 
     Upstreams(EventLoop loop, SettingsReader.Boot boot, Descriptors descriptors,
-            LongSupplier clock) {
+            LongSupplier clock, Events events) {
         this.loop = loop;
         this.boot = boot;
         this.descriptors = descriptors;
         this.clock = clock;
+        this.events = events;
         this.idleMost = boot.idleClose() > 0 ? (long) (boot.idleClose() * IDLE_SHARE) : Long.MAX_VALUE;
         this.bootstrap = new Bootstrap().group(loop).channel(NioSocketChannel.class)
             .option(ChannelOption.TCP_NODELAY, true)
@@ -373,6 +376,7 @@
             }
             Call answered = call;
             if (answered == null || !answer.decoderResult().isSuccess()) {
+                unreadable(answered == null ? "nobody asked" : answer.decoderResult().toString());
                 close();                            // nobody asked, or it can't be read: see closed()
                 return;
             }
@@ -392,9 +396,17 @@
 
         @Override
         public void exceptionCaught(ChannelHandlerContext context, Throwable cause) {
+            if (!(cause instanceof IOException)) {
+                unreadable(String.valueOf(cause));
+            }
             close();                                // what became of the request is told in closed()
         }
 
+        private void unreadable(String why) {
+            events.tell(Events.Kind.UNREADABLE, call == null ? null : call.order.id(),
+                () -> "answer of " + upstream.id + ": " + why);
+        }
+
         // The line between what never ran and what may have is the request's last byte.
         private void closed() {
             descriptors.closed();
