Turn down requests whose length can be read in two ways

Cause: Netty's decoder takes chunked framing and silently drops the Content-Length that came with it, so the rest of what the client meant as a body was decoded as a request of its own. Log of: every pipelined id stood behind one framed by 'length [] coding [chunked]'. Neighbours mended with it: other Transfer-Encodings, HTTP/1.0, failed expectations and bodies over the limit (after which the decoder read on), requests behind a rejected one or behind the last of a connection, and too many requests ahead, which dropped answers that were owed.

--- a/src/main/java/junctionhead/net/ClientServer.java
+++ b/src/main/java/junctionhead/net/ClientServer.java
@@ -11,6 +11,7 @@
 import io.netty.channel.ChannelInboundHandlerAdapter;
 import io.netty.channel.ChannelInitializer;
 import io.netty.channel.ChannelOption;
+import io.netty.channel.ChannelPipeline;
 import io.netty.channel.EventLoop;
 import io.netty.channel.SimpleChannelInboundHandler;
 import io.netty.channel.socket.nio.NioServerSocketChannel;
@@ -22,12 +23,14 @@
 import io.netty.handler.codec.http.HttpHeaderValues;
 import io.netty.handler.codec.http.HttpHeaders;
 import io.netty.handler.codec.http.HttpMethod;
+import io.netty.handler.codec.http.HttpMessage;
 import io.netty.handler.codec.http.HttpObjectAggregator;
 import io.netty.handler.codec.http.HttpRequest;
+import io.netty.handler.codec.http.HttpResponseEncoder;
 import io.netty.handler.codec.http.HttpResponseStatus;
-import io.netty.handler.codec.http.HttpServerCodec;
 import io.netty.handler.codec.http.HttpUtil;
 import io.netty.handler.codec.http.HttpVersion;
+import io.netty.util.ReferenceCountUtil;
 import java.io.IOException;
 import java.net.InetSocketAddress;
 import java.nio.charset.StandardCharsets;
@@ -93,8 +96,8 @@
                     @Override
                     protected void initChannel(Channel channel) {
                         Client client = new Client(channel);
-                        channel.pipeline().addLast(new HttpServerCodec(), client.new Mark(),
-                            new HttpObjectAggregator(Upstreams.BODY_MOST), client);
+                        channel.pipeline().addLast(new Framing.Requests(), new HttpResponseEncoder(),
+                            client.new Gate(), client.new Bodies(), client);
                         client.opened();
                     }
                 }).bind(at);
@@ -147,10 +150,10 @@
         private final ArrayDeque<FullHttpRequest> ahead = new ArrayDeque<>();
         private Runnable gone;                      // set while the module owes an answer here
         private boolean receiving;
+        private boolean closing;                    // takes nothing more: what still comes is dropped
         private final long number = ++clients;
         private long requests;
         private String current;                     // the id of the last request that was handled
-        private String framing;                     // what its headers said of its length
 
         Client(Channel channel) {
             this.channel = channel;
@@ -179,10 +182,11 @@
             receiving = false;
             if (gone != null) {
                 events.tell(Events.Kind.PIPELINED, request.headers().get("Req-Id"),
-                    () -> "behind " + current + " framed by " + framing + ", " + this);
-                ahead.add(request.retain());
-                if (ahead.size() > PIPELINED_MOST) {
-                    channel.close();
+                    () -> "behind " + current + ", " + this);
+                if (ahead.size() < PIPELINED_MOST) {
+                    ahead.add(request.retain());
+                } else {
+                    closing = true;                 // once those before it have been answered
                 }
             } else {
                 handle(request);
@@ -214,7 +218,7 @@
                     order = order(request);
                 } catch (IllegalArgumentException e) {
                     reject(request, e.getMessage());
-                    plain(HttpResponseStatus.BAD_REQUEST, e.getMessage(), keep);
+                    plain(HttpResponseStatus.BAD_REQUEST, e.getMessage(), false);
                     return;
                 }
                 Answer answer = new Answer(this, keep);
@@ -228,7 +232,17 @@
             }
         }
 
-        private void reject(FullHttpRequest request, String why) {
+        // Turns away what is not yet a whole request. Where earlier ones are still owed their answers, the
+        // end of the connection after the last of them has to do.
+        private void turnAway(HttpRequest request, HttpResponseStatus status) {
+            reject(request, status.toString());
+            if (gone == null) {
+                plain(status, status.reasonPhrase(), false);
+            }
+            closing = true;
+        }
+
+        private void reject(HttpRequest request, String why) {
             events.tell(Events.Kind.REJECTED, request.headers().get("Req-Id"), () -> why + ", " + this);
         }
 
@@ -245,7 +259,8 @@
         private void write(HttpResponseStatus status, ByteBuf body, String type, String header,
                 String value, boolean keep) {
             gone = null;
-            boolean stay = keep && !stopping;
+            boolean stay = keep && (!ahead.isEmpty() || !stopping && !closing);
+            closing |= !keep;
             FullHttpResponse response = new DefaultFullHttpResponse(HttpVersion.HTTP_1_1, status, body);
             if (type != null) {
                 response.headers().set(HttpHeaderNames.CONTENT_TYPE, type);
@@ -282,19 +297,43 @@
             channel.close();
         }
 
-        /** Notes that a request has begun to come in: its connection is not at rest. */
-        private final class Mark extends ChannelInboundHandlerAdapter {
+        /** The first to see what has been decoded: drops what follows the end of a connection's requests. */
+        private final class Gate extends ChannelInboundHandlerAdapter {
             @Override
             public void channelRead(ChannelHandlerContext context, Object part) {
                 receiving = true;
-                if (part instanceof HttpRequest request && gone == null) {
-                    HttpHeaders headers = request.headers();
-                    framing = "length " + headers.getAll(HttpHeaderNames.CONTENT_LENGTH) + " coding "
-                        + headers.getAll(HttpHeaderNames.TRANSFER_ENCODING) + " expect "
-                        + headers.getAll(HttpHeaderNames.EXPECT);
-                }
                 idle.remove(Client.this);
-                context.fireChannelRead(part);
+                if (closing) {
+                    ReferenceCountUtil.release(part);
+                } else if (part instanceof HttpRequest request && expectsTheUnknown(request)) {
+                    turnAway(request, HttpResponseStatus.EXPECTATION_FAILED);
+                } else {
+                    context.fireChannelRead(part);
+                }
+            }
+        }
+
+        private static boolean expectsTheUnknown(HttpRequest request) {
+            return request.headers().contains(HttpHeaderNames.EXPECT)
+                && !HttpUtil.is100ContinueExpected(request);
+        }
+
+        /** Collects bodies. Netty's own answer to one that is too long would go on reading its connection. */
+        private final class Bodies extends HttpObjectAggregator {
+            Bodies() {
+                super(Upstreams.BODY_MOST);
+            }
+
+            @Override
+            protected void handleOversizedMessage(ChannelHandlerContext context, HttpMessage oversized) {
+                turnAway((HttpRequest) oversized, HttpResponseStatus.REQUEST_ENTITY_TOO_LARGE);
+            }
+
+            @Override
+            protected Object newContinueResponse(HttpMessage start, int most, ChannelPipeline pipeline) {
+                // One that asks whether it may send too much is told so like any other.
+                return isContentLengthInvalid(start, most) ? null
+                    : super.newContinueResponse(start, most, pipeline);
             }
         }
     }
--- a/src/test/java/junctionhead/net/NodeTest.java
+++ b/src/test/java/junctionhead/net/NodeTest.java
@@ -36,7 +36,7 @@
 /** The real balancer over loopback sockets, with a module that does what the test says. */
 class NodeTest {
     /** A module that notes what it is told and sends each request where {@code onRequest} says. */
-    private static class Scripted implements Policy {
+    static class Scripted implements Policy {
         final BlockingQueue<String> told = new LinkedBlockingQueue<>();
         final BlockingQueue<String> requests = new LinkedBlockingQueue<>();
         volatile long timeout;
@@ -98,7 +98,7 @@
     }
 
     /** A client's connection. */
-    private static final class Client implements Closeable {
+    static final class Client implements Closeable {
         final Socket socket;
         final InputStream in;
         byte[] body;
@@ -135,7 +135,7 @@
         }
     }
 
-    private static final String SAFE = "GET /api/k1?x=%20y HTTP/1.1\r\nHost: backend.local\r\nReq-Id: r1\r\n"
+    static final String SAFE = "GET /api/k1?x=%20y HTTP/1.1\r\nHost: backend.local\r\nReq-Id: r1\r\n"
         + "Req-Kind: read\r\nReq-Deadline-Ms: 20000\r\nReq-Cost: 700\r\nReq-Retry: 1\r\n\r\n";
 
     private final Scripted module = new Scripted();
