Close or answer peers that send no whole request within 2.2 s

Cause: no time limit on what a client sends. Peers that connect and stay silent, or never end what they begin, kept their descriptors: show 332 of 384 in use and the log 320 of 320 sockets open with CONNECT_FAILED after 0 ms to every server, then refusals. Ruled out: failing servers (they answered on the connections that were left).

Test: SlowPeersTest.

--- a/src/main/java/junctionhead/net/ClientServer.java
+++ b/src/main/java/junctionhead/net/ClientServer.java
@@ -6,7 +6,6 @@
 import io.netty.buffer.Unpooled;
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelFuture;
-import io.netty.channel.ChannelFutureListener;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInboundHandlerAdapter;
 import io.netty.channel.ChannelInitializer;
@@ -40,6 +39,8 @@
 import java.util.Locale;
 import java.util.Map;
 import java.util.Set;
+import java.util.concurrent.Future;
+import java.util.concurrent.TimeUnit;
 import java.util.function.BooleanSupplier;
 import java.util.stream.Stream;
 import junctionhead.Policy;
@@ -50,6 +51,9 @@
     static final String DEADLINE = "Req-Deadline-Ms";
     private static final int BACKLOG = 1024;
     private static final int PIPELINED_MOST = 16;   // requests that a client may send ahead on a connection
+    private static final long REQUEST_MS = 2_200;   // for a first request, or one that has begun, to be whole
+    private static final long ANSWER_MS = 2_200;    // for an answer to be taken in
+    private static final long GREETING_NS = 300_000_000; // after it a silent newcomer may have to make room
     private static final Set<String> HOP_BY_HOP = Set.of("connection", "keep-alive", "proxy-connection",
         "proxy-authenticate", "proxy-authorization", "te", "trailer", "transfer-encoding", "upgrade",
         "expect", "content-length", DEADLINE.toLowerCase(Locale.ROOT));
@@ -61,6 +65,7 @@
     private final BooleanSupplier shedIdleUpstream;
     private final Events events;
     private final Set<Client> idle = new LinkedHashSet<>(); // the longest idle first
+    private final Set<Client> newcomers = new LinkedHashSet<>(); // no proper request yet, the oldest first
     private Channel listener;
     private long clients;                           // that have ever connected
     private boolean ready;
@@ -96,8 +101,8 @@
                     @Override
                     protected void initChannel(Channel channel) {
                         Client client = new Client(channel);
-                        channel.pipeline().addLast(new Framing.Requests(), new HttpResponseEncoder(),
-                            client.new Gate(), client.new Bodies(), client);
+                        channel.pipeline().addLast(client.new Arrivals(), client.decoder,
+                            new HttpResponseEncoder(), client.new Gate(), client.new Bodies(), client);
                         client.opened();
                     }
                 }).bind(at);
@@ -130,11 +135,18 @@
     void close() {
         listener.close();
         List.copyOf(idle).forEach(c -> c.channel.close());
+        newcomers.stream().filter(c -> !c.receiving && !c.busy).toList().forEach(c -> c.channel.close());
     }
 
     // Makes room before an accept can fail. Guards against the end of the descriptors: first go connections
-    // that nobody needs, then those of clients at rest, and at last new ones wait in the backlog.
+    // that have not proved to be a client's, then those that nobody needs, then those of clients at rest, and
+    // at last new ones wait in the backlog.
     private void makeRoom() {
+        long before = System.nanoTime() - GREETING_NS;
+        while (descriptors.full() && !newcomers.isEmpty()
+                && newcomers.iterator().next().since - before < 0) {
+            newcomers.iterator().next().drop("no request yet, and no room");
+        }
         while (descriptors.full() && shedIdleUpstream.getAsBoolean()) {
             continue;
         }
@@ -149,8 +161,12 @@
         private final Channel channel;
         private final ArrayDeque<FullHttpRequest> ahead = new ArrayDeque<>();
         private Runnable gone;                      // set while the module owes an answer here
-        private boolean receiving;
+        private boolean receiving;                  // a part of a request has come
+        private boolean busy;                       // from a whole request until its answer is written
         private boolean closing;                    // takes nothing more: what still comes is dropped
+        private Future<?> patience;                 // while a request is awaited that should come soon
+        private final Framing.Requests decoder = new Framing.Requests();
+        private final long since = System.nanoTime();
         private final long number = ++clients;
         private long requests;
         private String current;                     // the id of the last request that was handled
@@ -161,10 +177,13 @@
 
         void opened() {
             descriptors.opened();
-            idle.add(this);
+            newcomers.add(this);
+            awaitRequest();
             channel.closeFuture().addListener(closed -> {
                 descriptors.closed();
                 idle.remove(this);
+                newcomers.remove(this);
+                requestCame();
                 ahead.forEach(FullHttpRequest::release);
                 ahead.clear();
                 if (gone != null) {
@@ -177,10 +196,42 @@
             makeRoom();
         }
 
+        // Guards against peers that connect and send nothing, or never end what they begin: each would keep
+        // its descriptor until no server could be reached. What comes slowly does not prolong the time.
+        private void awaitRequest() {
+            if (patience == null && channel.isActive()) {
+                patience = loop.schedule(() -> {
+                    if (receiving) {
+                        drop("unfinished request");
+                    } else {
+                        drop("no request");
+                    }
+                }, REQUEST_MS, TimeUnit.MILLISECONDS);
+            }
+        }
+
+        private void requestCame() {
+            if (patience != null) {
+                patience.cancel(false);
+                patience = null;
+            }
+        }
+
+        private void drop(String why) {
+            events.tell(Events.Kind.DROPPED, null, () -> why + ", " + this);
+            newcomers.remove(this);
+            if (receiving && !busy) {
+                plain(HttpResponseStatus.REQUEST_TIMEOUT, "no whole request in time", false);
+            } else {
+                channel.close();
+            }
+        }
+
         @Override
         protected void channelRead0(ChannelHandlerContext context, FullHttpRequest request) {
             receiving = false;
-            if (gone != null) {
+            requestCame();
+            if (busy) {
                 events.tell(Events.Kind.PIPELINED, request.headers().get("Req-Id"),
                     () -> "behind " + current + ", " + this);
                 if (ahead.size() < PIPELINED_MOST) {
@@ -194,7 +245,7 @@
         }
 
         private void handle(FullHttpRequest request) {
-            idle.remove(this);
+            busy = true;
             requests++;
             current = request.headers().get("Req-Id");
             boolean keep = HttpUtil.isKeepAlive(request);
@@ -208,6 +259,7 @@
                     Unpooled.wrappedBuffer(new byte[256]), null, declined ? "Srv-Declined" : "Srv-Load",
                     declined ? "1" : "TEXT eps=0.1, latency_ms=14.5, inflight=2", keep);
             } else if (path.startsWith("/-/") && (rehearsal == null || !path.equals(Rehearsal.PATH))) {
+                newcomers.remove(this);
                 boolean asked = path.equals("/-/ready") && request.method().equals(HttpMethod.GET);
                 HttpResponseStatus status = !asked ? HttpResponseStatus.NOT_FOUND
                     : ready ? HttpResponseStatus.OK : HttpResponseStatus.SERVICE_UNAVAILABLE;
@@ -221,6 +273,7 @@
                     plain(HttpResponseStatus.BAD_REQUEST, e.getMessage(), false);
                     return;
                 }
+                newcomers.remove(this);
                 Answer answer = new Answer(this, keep);
                 gone = () -> { };
                 Runnable leave = path.equals(Rehearsal.PATH)
@@ -236,7 +289,8 @@
         // end of the connection after the last of them has to do.
         private void turnAway(HttpRequest request, HttpResponseStatus status) {
             reject(request, status.toString());
-            if (gone == null) {
+            requestCame();
+            if (!busy) {
                 plain(status, status.reasonPhrase(), false);
             }
             closing = true;
@@ -259,6 +313,7 @@
         private void write(HttpResponseStatus status, ByteBuf body, String type, String header,
                 String value, boolean keep) {
             gone = null;
+            busy = true;
             boolean stay = keep && (!ahead.isEmpty() || !stopping && !closing);
             closing |= !keep;
             FullHttpResponse response = new DefaultFullHttpResponse(HttpVersion.HTTP_1_1, status, body);
@@ -272,37 +327,67 @@
             if (!stay) {
                 response.headers().set(HttpHeaderNames.CONNECTION, HttpHeaderValues.CLOSE);
             }
-            var written = channel.writeAndFlush(response);
-            if (!stay) {
-                written.addListener(ChannelFutureListener.CLOSE);
-                return;
-            }
-            FullHttpRequest next = ahead.poll();
-            if (next == null) {
-                if (channel.isActive() && !receiving) {
-                    idle.add(this);
+            ChannelFuture written = channel.writeAndFlush(response);
+            // Guards against peers that take no answers in: those would be kept in memory.
+            Future<?> stuck = written.isDone() ? null
+                : loop.schedule(() -> drop("answer not taken in"), ANSWER_MS, TimeUnit.MILLISECONDS);
+            written.addListener(done -> {
+                if (stuck != null) {
+                    stuck.cancel(false);
                 }
-                return;
-            }
-            loop.execute(() -> {
-                if (channel.isActive()) {
-                    handle(next);
+                if (!stay || !done.isSuccess()) {
+                    channel.close();
+                } else if (ahead.isEmpty()) {
+                    answered();
+                } else {
+                    loop.execute(this::answered);   // not from within what is handled now
                 }
-                next.release();
             });
         }
 
+        private void answered() {
+            busy = false;
+            FullHttpRequest next = ahead.poll();
+            if (next != null) {
+                handle(next);
+                next.release();
+            } else if (closing || stopping) {
+                channel.close();
+            } else if (receiving || decoder.holdsBytes()) {
+                receiving = true;
+                awaitRequest();
+            } else if (channel.isActive()) {
+                idle.add(this);
+            }
+        }
+
         @Override
         public void exceptionCaught(ChannelHandlerContext context, Throwable cause) {
             channel.close();
         }
 
+        /** Notes that a request has begun to come in: its connection is not at rest. */
+        private final class Arrivals extends ChannelInboundHandlerAdapter {
+            @Override
+            public void channelRead(ChannelHandlerContext context, Object bytes) {
+                if (closing) {
+                    ReferenceCountUtil.release(bytes);      // not worth decoding
+                    return;
+                }
+                receiving = true;
+                idle.remove(Client.this);
+                if (!busy) {
+                    awaitRequest();
+                }
+                context.fireChannelRead(bytes);
+            }
+        }
+
         /** The first to see what has been decoded: drops what follows the end of a connection's requests. */
         private final class Gate extends ChannelInboundHandlerAdapter {
             @Override
             public void channelRead(ChannelHandlerContext context, Object part) {
                 receiving = true;
-                idle.remove(Client.this);
                 if (closing) {
                     ReferenceCountUtil.release(part);
                 } else if (part instanceof HttpRequest request && expectsTheUnknown(request)) {
--- a/src/main/java/junctionhead/net/Framing.java
+++ b/src/main/java/junctionhead/net/Framing.java
@@ -18,6 +18,11 @@
 
     /** Of clients' requests. */
     static final class Requests extends HttpRequestDecoder {
+        /** Whether a part of a line has come that is not read yet. */
+        boolean holdsBytes() {
+            return actualReadableBytes() > 0;
+        }
+
         @Override
         protected boolean isContentAlwaysEmpty(HttpMessage message) {
             check(message);                         // the headers are whole, and none has been dropped yet
--- a/src/test/java/junctionhead/net/FramingTest.java
+++ b/src/test/java/junctionhead/net/FramingTest.java
@@ -5,11 +5,9 @@
 import static org.junit.jupiter.api.Assertions.assertNull;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
-import com.fasterxml.jackson.jr.ob.JSON;
 import java.io.IOException;
 import java.net.InetSocketAddress;
 import java.nio.charset.StandardCharsets;
-import java.util.Map;
 import java.util.concurrent.TimeUnit;
 import junctionhead.net.NodeTest.Client;
 import junctionhead.net.NodeTest.Scripted;
@@ -35,11 +33,7 @@
     @BeforeEach
     void open() throws IOException, InterruptedException {
         upstream = new FakeUpstream();
-        node = new Node(Config.of(Map.of(), Map.of("name", "n1", "listen", "127.0.0.1:0", "discovery",
-            "127.0.0.1:9", "seed", "8c1f30d27a5be964", "limits", Map.of("sockets", 1024), "settings",
-            NodeTest.settings(), "known", JSON.std.mapFrom("{\"rev\":1,\"all\":true,\"targets\":["
-                + "{\"uid\":\"s1\",\"endpoint\":\"" + upstream.address() + "\",\"state\":\"in_service\",\"boot_ms\":0}]}"))),
-            (s, seed) -> module, false, line -> { });
+        node = Nodes.node(upstream, module, NodeTest.settings(), 1024, line -> { });
         at = node.start();
         assertEquals("PERSISTED [s1=UP]", module.next());
     }
--- a/src/test/java/junctionhead/net/NodeTest.java
+++ b/src/test/java/junctionhead/net/NodeTest.java
@@ -125,6 +125,17 @@
             return head;
         }
 
+        /** As {@link #answer}, after the word to continue if that comes first. */
+        String skipContinue() throws IOException {
+            in.mark(64);
+            byte[] start = in.readNBytes(12);
+            in.reset();
+            if (new String(start, StandardCharsets.ISO_8859_1).endsWith("100")) {
+                FakeUpstream.head(in);
+            }
+            return answer();
+        }
+
         int status() throws IOException {
             return Integer.parseInt(answer().split(" ")[1]);
         }
--- /dev/null
+++ b/src/test/java/junctionhead/net/SlowPeersTest.java
@@ -0,0 +1,132 @@
+package junctionhead.net;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertNull;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.io.IOException;
+import java.net.InetSocketAddress;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.concurrent.TimeUnit;
+import junctionhead.net.NodeTest.Client;
+import junctionhead.net.NodeTest.Scripted;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.Timeout;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
+
+/** Peers that connect and send nothing, or never end what they begin, lose their connections soon. */
+@Timeout(60)
+class SlowPeersTest {
+    private static final String READY = "GET /-/ready HTTP/1.1\r\nHost: x\r\n\r\n";
+    private static final String POST = "POST /api/k1 HTTP/1.1\r\nHost: x\r\nReq-Id: r\r\nReq-Kind: book\r\n"
+        + "Req-Deadline-Ms: 20000\r\n";
+
+    private final Scripted module = new Scripted();
+    private FakeUpstream upstream;
+    private Node node;
+    private InetSocketAddress at;
+
+    @BeforeEach
+    void open() throws IOException {
+        upstream = new FakeUpstream();
+    }
+
+    private void start(int sockets) throws IOException {
+        node = Nodes.node(upstream, module, NodeTest.settings(), sockets, line -> { });
+        at = node.start();
+    }
+
+    @AfterEach
+    void close() throws IOException {
+        node.stop();
+        upstream.close();
+    }
+
+    @Test
+    void aPeerThatSendsNothingLosesItsConnectionAndAClientAtRestKeepsIts() throws IOException {
+        start(1024);
+        try (Client client = new Client(at)) {
+            assertEquals(200, client.send(READY).status());
+            for (int i = 0; i < 2; i++) {           // for longer than a newcomer may be silent
+                try (Client silent = new Client(at)) {
+                    assertNull(silent.answer());
+                }
+            }
+            assertEquals(200, client.send(READY).status());
+        }
+    }
+
+    @ParameterizedTest
+    @ValueSource(strings = {
+        "G",
+        "GET /-/ready HTTP/1.1\r\nHost: x",
+        POST + "Content-Length: 5\r\n\r\n1234",
+        POST + "Transfer-Encoding: chunked\r\n\r\n",
+        POST + "Transfer-Encoding: chunked\r\n\r\n5\r\n123",
+        POST + "Transfer-Encoding: chunked\r\n\r\n5\r\n12345\r\n0\r\n",
+        POST + "Expect: 100-continue\r\nTransfer-Encoding: chunked\r\n\r\n",
+    })
+    void anUnfinishedRequestGetsAnErrorAndReachesNobody(String begun) throws IOException {
+        start(1024);
+        try (Client first = new Client(at); Client later = new Client(at)) {
+            first.send(begun);
+            assertEquals(200, later.send(READY + begun).status());      // in one piece with a whole one
+            for (Client client : List.of(first, later)) {
+                String head = client.skipContinue();
+                assertTrue(head.startsWith("HTTP/1.1 408"), head);
+                assertNull(client.answer());
+            }
+        }
+        assertTrue(module.requests.isEmpty());
+    }
+
+    @Test
+    void aRequestThatTricklesInGetsAnErrorInTheEnd() throws Exception {
+        start(1024);
+        try (Client client = new Client(at)) {
+            client.send("GET /-/ready HTTP/1.1\r\nX: ");
+            while (client.in.available() == 0) {
+                client.send("x");
+                TimeUnit.MILLISECONDS.sleep(50);
+            }
+            assertEquals(408, client.status());
+        }
+    }
+
+    @Test
+    void aRequestThatIsBeingServedIsWaitedFor() throws Exception {
+        start(1024);
+        try (Client client = new Client(at); Client silent = new Client(at)) {
+            client.send(NodeTest.SAFE);
+            FakeUpstream.Got got = upstream.next();
+            assertNull(silent.answer());            // its time is over
+            got.answer(200, "", "ok");
+            assertEquals(200, client.status());
+        }
+    }
+
+    /** More of them than there are descriptors: clients come to their turn all the same. */
+    @Test
+    void silentPeersDoNotKeepClientsOut() throws Exception {
+        start(40);
+        List<Client> silent = new ArrayList<>();
+        try {
+            for (int i = 0; i < 60; i++) {
+                silent.add(new Client(at));
+            }
+            try (Client client = new Client(at)) {
+                client.send(NodeTest.SAFE);
+                upstream.next().answer(200, "", "ok");
+                assertEquals(200, client.status());
+            }
+        } finally {
+            for (Client peer : silent) {
+                peer.close();
+            }
+        }
+    }
+}
