Keep half of the descriptors for upstreams: clients at rest make room

Ruled out: a leak of upstream connections (10 open).

Test: SlowPeersTest.peersThatAskSomethingAndStayDoNotKeepServersOut.

--- a/src/main/java/junctionhead/net/ClientServer.java
+++ b/src/main/java/junctionhead/net/ClientServer.java
@@ -67,6 +67,8 @@
     private final Set<Client> idle = new LinkedHashSet<>(); // the longest idle first
     private final Set<Client> newcomers = new LinkedHashSet<>(); // no proper request yet, the oldest first
     private Channel listener;
+    private int open;
+    private Future<?> again;                        // while new ones wait for room
     private long clients;                           // that have ever connected
     private boolean ready;
     private boolean stopping;
@@ -116,6 +118,11 @@
         }
     }
 
+    @Override
+    public String toString() {
+        return open + " clients' (" + newcomers.size() + " new, " + idle.size() + " at rest)";
+    }
+
     void ready() {
         ready = !stopping;
     }
@@ -138,22 +145,32 @@
         newcomers.stream().filter(c -> !c.receiving && !c.busy).toList().forEach(c -> c.channel.close());
     }
 
-    // Makes room before an accept can fail. Guards against the end of the descriptors: first go connections
-    // that have not proved to be a client's, then those that nobody needs, then those of clients at rest, and
-    // at last new ones wait in the backlog.
+    // Makes room before an accept can fail, and keeps half of the descriptors for the upstreams: clients need
+    // no more than a third, and with peers that came, asked something and stayed there was none left to reach
+    // a server. First go connections that have not proved to be a client's, then those that nobody needs,
+    // then those of clients at rest, the longest first; at last new ones wait in the backlog.
     private void makeRoom() {
         long before = System.nanoTime() - GREETING_NS;
-        while (descriptors.full() && !newcomers.isEmpty()
+        while (descriptors.crowded(open) && !newcomers.isEmpty()
                 && newcomers.iterator().next().since - before < 0) {
             newcomers.iterator().next().drop("no request yet, and no room");
         }
         while (descriptors.full() && shedIdleUpstream.getAsBoolean()) {
             continue;
         }
-        if (descriptors.full() && !idle.isEmpty()) {
-            idle.iterator().next().channel.close();
+        while (descriptors.crowded(open) && !idle.isEmpty()) {
+            idle.iterator().next().drop("at rest, and no room");
+        }
+        boolean room = !descriptors.crowded(open);
+        listener.config().setAutoRead(room);
+        if (!room && again == null) {
+            again = loop.schedule(() -> {           // a newcomer's time may be over without any event
+                again = null;
+                if (listener.isOpen()) {
+                    makeRoom();
+                }
+            }, GREETING_NS, TimeUnit.NANOSECONDS);
         }
-        listener.config().setAutoRead(!descriptors.full());
     }
 
     /** One connection of a client. */
@@ -177,10 +194,12 @@
 
         void opened() {
             descriptors.opened();
+            open++;
             newcomers.add(this);
             awaitRequest();
             channel.closeFuture().addListener(closed -> {
                 descriptors.closed();
+                open--;
                 idle.remove(this);
                 newcomers.remove(this);
                 requestCame();
@@ -220,6 +239,7 @@
         private void drop(String why) {
             events.tell(Events.Kind.DROPPED, null, () -> why + ", " + this);
             newcomers.remove(this);
+            idle.remove(this);
             if (receiving && !busy) {
                 plain(HttpResponseStatus.REQUEST_TIMEOUT, "no whole request in time", false);
             } else {
@@ -259,7 +279,6 @@
                     Unpooled.wrappedBuffer(new byte[256]), null, declined ? "Srv-Declined" : "Srv-Load",
                     declined ? "1" : "TEXT eps=0.1, latency_ms=14.5, inflight=2", keep);
             } else if (path.startsWith("/-/") && (rehearsal == null || !path.equals(Rehearsal.PATH))) {
-                newcomers.remove(this);
                 boolean asked = path.equals("/-/ready") && request.method().equals(HttpMethod.GET);
                 HttpResponseStatus status = !asked ? HttpResponseStatus.NOT_FOUND
                     : ready ? HttpResponseStatus.OK : HttpResponseStatus.SERVICE_UNAVAILABLE;
@@ -358,6 +377,9 @@
                 awaitRequest();
             } else if (channel.isActive()) {
                 idle.add(this);
+                if (again != null) {
+                    makeRoom();
+                }
             }
         }
 
--- a/src/main/java/junctionhead/net/Descriptors.java
+++ b/src/main/java/junctionhead/net/Descriptors.java
@@ -27,6 +27,11 @@
         return open + " of " + most + " sockets open";
     }
 
+    /** Whether {@code clients} connections of clients leave too few for those to the upstreams. */
+    boolean crowded(int clients) {
+        return full() || clients > most / 2;
+    }
+
     boolean full() {
         return open >= most;
     }
--- a/src/main/java/junctionhead/net/Node.java
+++ b/src/main/java/junctionhead/net/Node.java
@@ -86,7 +86,8 @@
             listed(Policy.ListKind.PERSISTED, config.known());
             discovery.start();
             loop.scheduleWithFixedDelay(
-                () -> events.summary(() -> dispatcher.summary() + ", " + descriptors),
+                () -> events.summary(() -> dispatcher.summary() + ", " + descriptors + ": " + clients
+                    + ", " + upstreams),
                 COUNTERS_S, COUNTERS_S, TimeUnit.SECONDS);
             if (!rehearsed) {
                 Rehearsal rehearsal = new Rehearsal(loop, config, () -> {
--- a/src/main/java/junctionhead/net/Upstreams.java
+++ b/src/main/java/junctionhead/net/Upstreams.java
@@ -70,6 +70,7 @@
     private final long idleMost;
     private final Map<String, Upstream> upstreams = new HashMap<>();
     private Future<?> sweep;
+    private int open;
 
     Upstreams(EventLoop loop, SettingsReader.Boot boot, Descriptors descriptors,
             LongSupplier clock, Events events) {
@@ -88,6 +89,12 @@
         }
     }
 
+    @Override
+    public String toString() {
+        return open + " upstreams' (" + upstreams.values().stream().mapToInt(u -> u.idle.size()).sum()
+            + " at rest)";
+    }
+
     private int connectMillis() {
         long limit = boot.settings().limits().connectTimeout();
         return limit > 0 ? (int) Math.max(1, Math.min(Integer.MAX_VALUE, limit / 1000)) : CONNECT_MS;
@@ -168,6 +175,7 @@
         connection.call = call;
         call.connection = connection;
         descriptors.opened();
+        open++;
         ChannelFuture connected = bootstrap.clone().handler(new ChannelInitializer<Channel>() {
             @Override
             protected void initChannel(Channel channel) {
@@ -410,6 +418,7 @@
         // The line between what never ran and what may have is the request's last byte.
         private void closed() {
             descriptors.closed();
+            open--;
             upstream.idle.remove(this);
             finish(written ? Outcome.RESET : Outcome.CONNECT_FAILED, null, null);
         }
--- a/src/test/java/junctionhead/net/SlowPeersTest.java
+++ b/src/test/java/junctionhead/net/SlowPeersTest.java
@@ -109,6 +109,41 @@
         }
     }
 
+    /** They have proved nothing, and those of proper clients who rest come next. */
+    @ParameterizedTest
+    @ValueSource(booleans = {false, true})
+    void peersThatAskSomethingAndStayDoNotKeepServersOut(boolean proper) throws Exception {
+        start(40);
+        List<Client> staying = new ArrayList<>();
+        try {
+            for (int i = 0; i < 30; i++) {
+                Client peer = new Client(at);
+                staying.add(peer);
+                peer.send(proper ? NodeTest.SAFE : READY);
+                if (proper) {
+                    FakeUpstream.Got got = upstream.next();
+                    got.answer(200, "Connection: close\r\n", "ok");
+                }
+                assertEquals(200, peer.status());
+            }
+            List<Client> clients = new ArrayList<>();
+            for (int i = 0; i < 8; i++) {           // all at once, each with a connection to the upstream
+                staying.add(new Client(at).send(NodeTest.SAFE));
+                clients.add(staying.get(staying.size() - 1));
+            }
+            for (int i = 0; i < clients.size(); i++) {
+                upstream.next().answer(200, "", "ok");
+            }
+            for (Client client : clients) {
+                assertEquals(200, client.status());
+            }
+        } finally {
+            for (Client peer : staying) {
+                peer.close();
+            }
+        }
+    }
+
     /** More of them than there are descriptors: clients come to their turn all the same. */
     @Test
     void silentPeersDoNotKeepClientsOut() throws Exception {
