Pass on only answers that can be read in one way, and to the request they answer

Neighbours: both or odd framings, other protocols, 101, broken 1xx, answers begun before the request was written, bytes on a connection at rest.

--- a/src/main/java/junctionhead/net/Framing.java
+++ b/src/main/java/junctionhead/net/Framing.java
@@ -5,7 +5,11 @@
 import io.netty.handler.codec.http.HttpHeaders;
 import io.netty.handler.codec.http.HttpMessage;
 import io.netty.handler.codec.http.HttpRequestDecoder;
+import io.netty.handler.codec.http.HttpResponse;
+import io.netty.handler.codec.http.HttpResponseDecoder;
+import io.netty.handler.codec.http.HttpResponseStatus;
 import io.netty.handler.codec.http.HttpVersion;
+import io.netty.util.AsciiString;
 import java.util.List;
 
 /**
@@ -30,6 +34,32 @@
         }
     }
 
+    /** Of upstreams' answers. */
+    static final class Answers extends HttpResponseDecoder {
+        /** Whether a part of a line has come that is not read yet. */
+        boolean holdsBytes() {
+            return actualReadableBytes() > 0;
+        }
+
+        @Override
+        protected boolean isContentAlwaysEmpty(HttpMessage message) {
+            check(message);
+            if (((HttpResponse) message).status().equals(HttpResponseStatus.SWITCHING_PROTOCOLS)) {
+                throw new IllegalArgumentException("another protocol, unasked");
+            }
+            return super.isContentAlwaysEmpty(message);
+        }
+
+        // Netty ends a name at white space too, and so takes a line without a colon for a header.
+        @Override
+        protected AsciiString splitHeaderName(byte[] line, int start, int length) {
+            if (line[start + length] != ':') {
+                throw new IllegalArgumentException("no colon after a header's name");
+            }
+            return super.splitHeaderName(line, start, length);
+        }
+    }
+
     private static void check(HttpMessage message) {
         HttpHeaders headers = message.headers();
         HttpVersion version = message.protocolVersion();
--- a/src/main/java/junctionhead/net/Upstreams.java
+++ b/src/main/java/junctionhead/net/Upstreams.java
@@ -5,6 +5,7 @@
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelFuture;
 import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.ChannelInboundHandlerAdapter;
 import io.netty.channel.ChannelInitializer;
 import io.netty.channel.ChannelOption;
 import io.netty.channel.EventLoop;
@@ -14,13 +15,14 @@
 import io.netty.handler.codec.http.EmptyHttpHeaders;
 import io.netty.handler.codec.http.FullHttpRequest;
 import io.netty.handler.codec.http.FullHttpResponse;
-import io.netty.handler.codec.http.HttpClientCodec;
 import io.netty.handler.codec.http.HttpHeaderNames;
 import io.netty.handler.codec.http.HttpMethod;
 import io.netty.handler.codec.http.HttpObjectAggregator;
+import io.netty.handler.codec.http.HttpRequestEncoder;
 import io.netty.handler.codec.http.HttpStatusClass;
 import io.netty.handler.codec.http.HttpUtil;
 import io.netty.handler.codec.http.HttpVersion;
+import io.netty.util.ReferenceCountUtil;
 import java.io.IOException;
 import java.net.InetSocketAddress;
 import java.nio.charset.StandardCharsets;
@@ -179,8 +181,8 @@
         ChannelFuture connected = bootstrap.clone().handler(new ChannelInitializer<Channel>() {
             @Override
             protected void initChannel(Channel channel) {
-                channel.pipeline().addLast(new HttpClientCodec(), new HttpObjectAggregator(BODY_MOST),
-                    connection);
+                channel.pipeline().addLast(connection.new Arrivals(), connection.decoder,
+                    new HttpRequestEncoder(), new HttpObjectAggregator(BODY_MOST), connection);
             }
         }).connect(u.endpoint);
         connection.channel = connected.channel();
@@ -329,6 +331,10 @@
         private boolean begun;                      // some of the request may have been written
         private boolean written;                    // all of it has been
         private long idleSince;
+        private FullHttpResponse whole;             // an answer, until all that came with it has been read
+        private boolean more;                       // whole ones have come behind it
+        private boolean broken;                     // nothing more that comes can be trusted
+        private final Framing.Answers decoder = new Framing.Answers();
 
         Connection(Upstream upstream) {
             this.upstream = upstream;
@@ -379,18 +385,46 @@
 
         @Override
         protected void channelRead0(ChannelHandlerContext context, FullHttpResponse answer) {
-            if (answer.status().codeClass() == HttpStatusClass.INFORMATIONAL) {
-                return;                             // the answer itself is still to come
+            if (call == null) {
+                return;                             // given up meanwhile
             }
-            Call answered = call;
-            if (answered == null || !answer.decoderResult().isSuccess()) {
-                unreadable(answered == null ? "nobody asked" : answer.decoderResult().toString());
-                close();                            // nobody asked, or it can't be read: see closed()
+            if (!answer.decoderResult().isSuccess()) {
+                unreadable(answer.decoderResult().toString());
+            } else if (whole != null) {
+                more = true;
+            } else if (answer.status().codeClass() != HttpStatusClass.INFORMATIONAL) {
+                whole = answer.retain();
+            }
+        }
+
+        // An answer with a part of something behind it was not as long as its upstream meant. With whole ones
+        // behind it the first is this request's, and the connection ends with it.
+        @Override
+        public void channelReadComplete(ChannelHandlerContext context) {
+            FullHttpResponse answer = whole;
+            if (answer == null) {
                 return;
             }
+            whole = null;
+            try {
+                if (decoder.holdsBytes()) {
+                    unreadable("more behind it");
+                } else if (call != null && !broken) {
+                    if (more) {
+                        tellUnreadable("more than one, the first is passed on");
+                    }
+                    answered(answer);
+                }
+            } finally {
+                answer.release();
+            }
+        }
+
+        private void answered(FullHttpResponse answer) {
+            Call answered = call;
             call = null;
             // Back among the idle before the module hears of it: its next send may want this one.
-            if (written && HttpUtil.isKeepAlive(answer)) {
+            if (HttpUtil.isKeepAlive(answer) && !more) {
                 rest();
             } else {
                 close();
@@ -410,7 +444,16 @@
             close();                                // what became of the request is told in closed()
         }
 
+        // Ends the connection and, in closed(), what it carries as an attempt that may have run.
         private void unreadable(String why) {
+            if (!broken) {
+                broken = true;
+                tellUnreadable(why);
+                close();
+            }
+        }
+
+        private void tellUnreadable(String why) {
             events.tell(Events.Kind.UNREADABLE, call == null ? null : call.order.id(),
                 () -> "answer of " + upstream.id + ": " + why);
         }
@@ -422,6 +465,24 @@
             upstream.idle.remove(this);
             finish(written ? Outcome.RESET : Outcome.CONNECT_FAILED, null, null);
         }
+
+        /**
+         * Sees bytes before they are decoded. Guards against answers that nobody asked for: kept in the
+         * decoder, or read just after the next request was written, one was passed on as that request's.
+         */
+        private final class Arrivals extends ChannelInboundHandlerAdapter {
+            @Override
+            public void channelRead(ChannelHandlerContext context, Object bytes) {
+                if (call == null || !written) {
+                    unreadable(call == null ? "nobody asked" : "before the request was written");
+                }
+                if (broken) {
+                    ReferenceCountUtil.release(bytes);
+                } else {
+                    context.fireChannelRead(bytes);
+                }
+            }
+        }
     }
 
     // Turned away unseen only where the upstream says so itself; any other failure may have run.
