Rest a server for the class it fails, not as a whole

The module judged servers as a whole, against ten seconds of good answers: 65 failures a server before it was ejected, and once it was, its capacity was missing for the other class. Errors now count in Health, by server and class, over some ten attempts; failures of the connection still count for the server.

--- a/src/main/java/junctionhead/Balance.java
+++ b/src/main/java/junctionhead/Balance.java
@@ -25,7 +25,7 @@
  *
  * <p>The ordinary path is JSQ-DAS (Gardner and Stephens, "Smart Dispatching in Heterogeneous Systems"): see
  * {@link #draw}. All else says which servers are candidates for it (the exceptions), when a request is sent,
- * held, sent again or given up, and keeps the books. docs/design.md has a paragraph on each exception.
+ * held, sent again or given up, and keeps the books.
  */
 public final class Balance implements Policy {
     // Mechanism. D, A: the paper's defaults. Counts fade so that a slowed server loses its rank in seconds.
@@ -92,6 +92,7 @@
     private final Map<String, Node> nodes = new LinkedHashMap<>();
     private List<Node> listed = new ArrayList<>();      // up, in the seeded order
     private boolean allLookBad;                         // or most of them: the fault is elsewhere
+    private final boolean[] allFail;                    // the same for each class
     private final TreeMap<Long, Node> points = new TreeMap<>(); // the ring: listed servers, more by weight
     private Node[] ring;                                // the same for keys, made when one asks for it
     private long[] ringAt;
@@ -141,6 +142,7 @@
             usual[i] = settings.classes().get(i).aim() / 4.0;
         }
         this.meanWork = new double[usual.length];
+        this.allFail = new boolean[usual.length];
         this.shortestAim = settings.classes().stream().mapToLong(RequestClass::aim).min().getAsLong();
         this.shortestUsual = Arrays.stream(usual).min().getAsDouble();
         this.anySafe = settings.classes().stream().anyMatch(c -> c.effect() == Effect.SAFE);
@@ -250,6 +252,7 @@
             }
             n.walk = walk;
             if (permitted(r.kind, n.server) && mayRunOn(r, n, now) && hasColdBudget(n, now)
+                    && (allFail[r.number] || n.classes[r.number].admits(now))
                     && (allLookBad || healthy(n, r, now))) {
                 (wasTried(r, n) ? tried : fresh).add(n);
                 int counts = warmth(n, now) >= 1 ? 1 : 0;
@@ -376,6 +379,9 @@
         }
         warmRate = weight <= 0 ? 0 : oks / FADE * 1e6 / weight;
         allLookBad = mostLookBad(now);
+        for (int i = 0; i < allFail.length; i++) {
+            allFail[i] = Health.mostRest(listed, i, now);
+        }
         turns.values().removeIf(t -> t.line.isEmpty() && now >= t.restUntil);
         keyCounts.values().removeIf(count -> count < scale / 2);
         if (scale > GAIN_MOST) {
@@ -625,6 +631,7 @@
         turnedAway += outcome.neverRan() ? 1 : 0;
         r.out--;
         a.node.inFlight--;
+        a.health.ended();
         inFlight--;
         if (r.turn != null && a.mayHaveRun && outcome != Outcome.OK && outcome != Outcome.ERROR) {
             r.turn.restUntil = Math.max(r.turn.restUntil, now + settings.bounds().orderPause());
@@ -735,6 +742,7 @@
             case OK -> {
                 n.oks += scale;
                 n.lastOk = now;
+                a.health.served(() -> remark(now, "recovered " + n.server.id() + ", class " + number, out));
                 slowed(n, latency / usually, now);
                 usual[number] += SMOOTH * (latency - usual[number]);
                 if (n.trial > 0 && --n.trial == 0) {
@@ -764,6 +772,11 @@
                 strained(STRAIN_MOST, now);
                 failed(n, 0.5, (long) (2 * usual[number]), now, out);
             }
+            case ERROR -> {             // it runs and answers: that tells of this class only
+                failed(n, 0, (long) (2 * usual[number]), now, out);
+                a.health.failed(now, random, length -> remark(now, "ejected " + n.server.id() + " for "
+                    + length / 1000 + " ms after failures of class " + number, out));
+            }
             default -> failed(n, 1, (long) (2 * usual[number]), now, out);
         }
     }
@@ -909,7 +922,7 @@
             if (n != null) {
                 setPoints(n, 0);
             }
-            n = new Node(s, random.nextInt());
+            n = new Node(s, random.nextInt(), usual.length);
             n.tokens = random.nextDouble();
             n.tokensAt = now;
             n.lastOk = now;
--- a/src/main/java/junctionhead/Books.java
+++ b/src/main/java/junctionhead/Books.java
@@ -3,6 +3,7 @@
 import java.util.ArrayDeque;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.stream.Stream;
 import junctionhead.Policy.RequestClass;
 import junctionhead.Policy.Server;
 
@@ -13,6 +14,7 @@
     /** A server, as this balancer sees it. */
     static final class Node {
         Server server;
+        final Health[] classes;                         // by the number of the class
         final long hash;
         final int order;                                // seeded shuffle: breaks ties of equal counts
         double count;                                   // accomplishment: faded dispatches
@@ -35,8 +37,9 @@
         double tokens;                                  // cold budget, in attempts
         long tokensAt;
 
-        Node(Server server, int order) {
+        Node(Server server, int order, int classes) {
             this.server = server;
+            this.classes = Stream.generate(Health::new).limit(classes).toArray(Health[]::new);
             this.hash = Hashing.hash(server.id());
             this.order = order;
         }
@@ -48,6 +51,7 @@
         final Server server;                            // as listed at the send: its zone and cell
         final Request request;
         final long at;
+        final Health health;                            // of its server, for its class
         boolean out = true;
         boolean mayHaveRun = true;                      // until its outcome proves otherwise
 
@@ -56,6 +60,8 @@
             this.server = node.server;
             this.request = request;
             this.at = at;
+            this.health = node.classes[request.number];
+            health.sent();
         }
     }
 
