Reread the configuration at SIGHUP and move to the discovery it names

Fault: nothing heard SIGHUP, so the JVM's default ended the balancer, and a balancer that ends on it has crashed. The watch goes on at the new address from the last version heard; a file that can't be read keeps the old configuration and says so. Test: MainTest.sighupMovesToAnotherDiscoveryAndABadFileChangesNothing fails without the change (the process ends).

--- a/src/main/java/junctionhead/net/Config.java
+++ b/src/main/java/junctionhead/net/Config.java
@@ -47,6 +47,13 @@
         return of(environment, json == null ? Map.of() : json);
     }
 
+    /** As it is after a reload: the environment is that of the start, so the file names discovery. */
+    static Config reread(Map<String, String> environment) {
+        Map<String, String> others = new HashMap<>(environment);
+        others.remove("ROUTER_DISCOVERY");
+        return read(others);
+    }
+
     static Config of(Map<String, String> environment, Map<String, Object> json) {
         String name = told(environment, "ROUTER_NAME", json, "name");
         InetSocketAddress listen = address("listen", told(environment, "ROUTER_LISTEN", json, "listen"));
--- a/src/main/java/junctionhead/net/Discovery.java
+++ b/src/main/java/junctionhead/net/Discovery.java
@@ -43,7 +43,7 @@
     private static final long AGAIN_MS = 500;       // after a failure, where lists are pushed
 
     private final EventLoop loop;
-    private final InetSocketAddress address;
+    private InetSocketAddress address;
     private final SettingsReader.Boot boot;
     private final BiConsumer<ListKind, Targets> news;
     private final Consumer<String> log;
@@ -70,6 +70,14 @@
         }
     }
 
+    /** Asks another address from here on; a watch goes on there, from the last version that was heard. */
+    void move(InetSocketAddress to) {
+        address = to;
+        if (watch != null) {
+            watch(true);
+        }
+    }
+
     /** Subscribes to changes, in place of an earlier subscription, or ends it. */
     void watch(boolean on) {
         Call earlier = watch;
--- a/src/main/java/junctionhead/net/Node.java
+++ b/src/main/java/junctionhead/net/Node.java
@@ -62,6 +62,11 @@
             log.accept(e.getMessage());
             return 1;
         }
+        try {
+            Hangup.on(() -> node.reload(environment));
+        } catch (ReflectiveOperationException e) {
+            log.accept("SIGHUP is not heard here: " + e);
+        }
         try {
             at = node.start();
         } catch (Exception e) {     // sync() rethrows what bind failed with, whatever its type
@@ -102,6 +107,20 @@
         return at;
     }
 
+    // Only the address of discovery may change while it runs; all else takes effect at the next start.
+    private void reload(Map<String, String> environment) {
+        try {
+            InetSocketAddress to = Config.reread(environment).discovery();
+            log.accept("configuration reread: discovery at " + to.getAddress().getHostAddress() + ":"
+                + to.getPort());
+            loop.execute(() -> discovery.move(to));
+        } catch (Config.Bad e) {
+            log.accept("keeping the old configuration: " + e.getMessage());
+        } catch (RuntimeException e) {              // of a file that is odd in a way not thought of
+            log.accept("keeping the old configuration: " + e);
+        }
+    }
+
     EventLoop loop() {
         return loop;
     }
--- a/src/test/java/junctionhead/MainTest.java
+++ b/src/test/java/junctionhead/MainTest.java
@@ -5,14 +5,17 @@
 
 import java.io.BufferedReader;
 import java.io.IOException;
+import java.io.InputStreamReader;
 import java.net.InetAddress;
 import java.net.ServerSocket;
+import java.net.Socket;
 import java.nio.charset.StandardCharsets;
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.ArrayList;
 import java.util.List;
 import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.Timeout;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
 import org.junit.jupiter.params.provider.ValueSource;
@@ -107,6 +110,48 @@
         Files.delete(config);
     }
 
+    @Test
+    @Timeout(60)
+    void sighupMovesToAnotherDiscoveryAndABadFileChangesNothing() throws IOException, InterruptedException {
+        Path config = config("127.0.0.1:0");
+        Process process = serve(config.toString());
+        try (BufferedReader err = process.errorReader(StandardCharsets.UTF_8);
+                ServerSocket next = new ServerSocket(0, 5, InetAddress.getLoopbackAddress())) {
+            awaitLine(err, "listening on ");
+            String good = Files.readString(config);
+            for (String bad : List.of("", "{", "[]", "{\"discovery\":7}", good.replace(":9\"", ":x\""))) {
+                Files.writeString(config, bad);
+                hangUp(process);
+                awaitLine(err, "keeping the old configuration: ");
+            }
+            Files.writeString(config, good.replace("127.0.0.1:9", "127.0.0.1:" + next.getLocalPort()));
+            hangUp(process);
+            awaitLine(err, "configuration reread: discovery at 127.0.0.1:" + next.getLocalPort());
+            try (Socket call = next.accept()) {
+                String asked = new BufferedReader(new InputStreamReader(call.getInputStream(),
+                    StandardCharsets.US_ASCII)).readLine();
+                assertTrue(asked.startsWith("GET /api/targets?watch=1&from="), asked);
+            }
+            process.destroy();
+            assertEquals(0, process.waitFor());
+        } finally {
+            process.destroyForcibly();
+        }
+        Files.delete(config);
+    }
+
+    private static void hangUp(Process process) throws IOException, InterruptedException {
+        assertEquals(0, new ProcessBuilder("kill", "-HUP", Long.toString(process.pid())).start().waitFor());
+    }
+
+    private static void awaitLine(BufferedReader err, String text) throws IOException {
+        String line = err.readLine();
+        while (line != null && !line.contains(text)) {
+            line = err.readLine();
+        }
+        assertTrue(line != null, "no line: " + text);
+    }
+
     private static Path config(String listen) throws IOException {
         Path config = Files.createTempFile("junctionhead", ".json");
         return Files.writeString(config, """
