--- a/src/main/java/junctionhead/net/Rehearsal.java
+++ b/src/main/java/junctionhead/net/Rehearsal.java
@@ -23,7 +23,7 @@
     static final String PATH = "/-/rehearsal";
     static final String HOP = "/-/rehearsed";
 
-    private static final int REQUESTS = 1_000;
+    private static final int REQUESTS = 300;
     private static final int AT_ONCE = 8;
     private static final int DECLINED = 3;          // every third is turned away in the last part
     private static final int SERVERS = 8;
