Tell refused clients when to come back, where the settings allow it

The module always refused with no advice, though the settings allow Retry-After up to 2.5 s. It now names the time that strain is remembered, capped by the settings; the answer itself still goes out at once.

Test: RetryAfterTest, 4 of 5 cases fail without the change.

--- a/src/main/java/junctionhead/Balance.java
+++ b/src/main/java/junctionhead/Balance.java
@@ -602,7 +602,7 @@
         boolean harmless = firstThatMayHaveRun(r) == null || r.kind.effect() == Effect.SAFE
             || r.kind.effect() == Effect.KEYED && r.kind.scope() == Scope.ALL;
         if (harmless) {
-            out.refuse(r.id, 0);
+            out.refuse(r.id, Math.min((long) FORGET, settings.limits().retryAfterMax()));    // strain lasts
         } else {
             out.fail(r.id);
         }
