--- a/src/test/java/junctionhead/net/FakeUpstream.java
+++ b/src/test/java/junctionhead/net/FakeUpstream.java
@@ -163,6 +163,12 @@
     @Override
     public void close() throws IOException {
         server.close();
+        try {
+            // Until its acceptor has left, the system may still take a connection in, and never refuse it.
+            readers.get(0).join(20_000);
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+        }
         for (Socket socket : sockets) {
             socket.close();
         }
