Tell other balancers the queues: each saw a fourteenth and chose at random

Excluded: that the ranking or sampling is at fault (with one dispatcher's queues the same draw works, as at today's size), and the subset: at 70 requests/s of one balancer it covers its whole zone.

Lines at fault: Balance.others, which spread the others' attempts evenly over the servers (Little's law). Now each balancer tells its queues in datagrams of at most 256 bytes, as often as the site's price for them allows; silence for 1.5 s brings the old guess back. Where messages are not allowed nothing changes.

--- a/src/main/java/junctionhead/Balance.java
+++ b/src/main/java/junctionhead/Balance.java
@@ -105,6 +105,9 @@
     private final double[] usual;                       // µs, moving mean latency of each class
     private final double[] meanWork;                    // moving mean of each class's hints
     private final Shares shares;
+    private final Peers peers;
+    private int silentPeers;
+    private long tellAt;
     private final long[] firstTry;                      // µs, most time of a first try
     private double meanWeight = 1;                      // of listed servers
     private double ownMean;                             // moving mean of own attempts in flight
@@ -121,6 +124,7 @@
     private double arrivals;
     private double retryBudget = BUDGET_MOST;
     private long fadedAt;
+    private long startedAt;
     private double scale = 1;                           // of servers' counts: it grows, they don't fade
     private double warmRate;                            // answers per second and weight of warm servers
     private long refreshAt;
@@ -153,6 +157,8 @@
         this.tick = Math.max(settings.tick(), Math.min(TICK_MOST, shortestAim / 16));
         this.firstTry = new long[usual.length];
         this.shares = new Shares(settings, random);
+        this.peers = new Peers(settings);
+        this.silentPeers = settings.balancers() - 1;
     }
 
     // ---------------------------------------------------------------- dispatch: the paper's definition
@@ -199,13 +205,14 @@
         return queue + far * (1 + queue);
     }
 
-    // The attempts of other balancers: as last reported, or by Little's law as many as this balancer has in
-    // a server on average, in the ratio of this server's latency. Old news fades to the mean of all.
+    // The attempts of other balancers: as last reported or told by them, or by Little's law as many as this
+    // balancer has in a server on average, in the ratio of this server's latency. Old news fades to the mean.
     private double others(Node n, long now) {
         double relative = n.server.weight() / meanWeight;
         double trust = n.reportedAt > 0 ? Math.exp(-(now - n.reportedAt) / (STALE * shortestUsual)) : 0;
-        double inferred = relative * ownMean * (settings.balancers() - 1) / Math.max(1, listed.size());
-        return slowness(n, now) * (inferred + trust * (n.reported - inferred));
+        double inferred = relative * ownMean * silentPeers / Math.max(1, listed.size());
+        double told = peers.elsewhere(n) + slowness(n, now) * inferred;
+        return told + trust * (slowness(n, now) * n.reported - told);
     }
 
     // ---------------------------------------------------------------- exceptions: who is a candidate
@@ -369,6 +376,7 @@
         }
         warmRate = weight <= 0 ? 0 : oks / FADE * 1e6 / weight;
         allLookBad = mostLookBad(now);
+        silentPeers = peers.silent(now);
         for (int i = 0; i < allFail.length; i++) {
             allFail[i] = Health.mostRest(listed, i, now);
         }
@@ -766,6 +774,13 @@
     @Override
     public void probed(long now, String server, Outcome outcome, long latency, Load load, Actions out) { }
 
+    @Override
+    public void peerMessage(long now, int from, byte[] data, Actions out) {
+        if (!peers.heard(now, from, data)) {
+            remark(now, "passed over a message of balancer " + from, out);
+        }
+    }
+
     private void remark(long now, String line, Actions out) {
         if (now >= remarkAt) {
             remarkAt = now + 1_000_000;
@@ -809,9 +824,18 @@
         if (now >= askAt) {
             ask(now, out);
         }
+        if (peers.speaks() && now >= tellAt) {
+            out.tell(-1, peers.message(listed));
+            tellAt = now + (long) (peers.every(perSecond(arrivals, now)) * (0.75 + random.nextDouble() / 2));
+        }
         wakeBy(now, open.isEmpty() ? REFRESH : tick, out);
     }
 
+    // The rate that a faded count stands for: one of a short life has not filled yet.
+    private double perSecond(double faded, long now) {
+        return faded / FADE * 1e6 / (1 - Math.exp(-Math.max(QUICK, now - startedAt) / FADE));
+    }
+
     private void wakeBy(long now, long delay, Actions out) {
         if (now + delay < wakeAt) {
             wakeAt = now + delay;
@@ -840,6 +864,7 @@
     public void servers(long now, ListKind kind, List<Server> servers, Actions out) {
         if (wakeAt == Long.MAX_VALUE) {
             shares.start(now);
+            startedAt = now;
             fadedAt = now;
             wakeBy(now, tick, out);
         }
--- a/src/main/java/junctionhead/Policy.java
+++ b/src/main/java/junctionhead/Policy.java
@@ -97,20 +97,35 @@
     /** How much the worst-served class and the worst-served tenant count, beside the whole. */
     record Goal(double whole, double worstWindow, double worstClass, double worstTenant) { }
 
-    /** Points of the goal for each crossing of zones and for each new connection, per first try; 0: free. */
-    record Prices(double crossZone, double handshake) {
+    /**
+     * Points of the goal for each crossing of zones, for each new connection and for each 256 bytes that
+     * balancers hear of one another, per first try; 0: free.
+     */
+    record Prices(double crossZone, double handshake, double peer) {
         public Prices {
             require(crossZone >= 0, "crossZone", crossZone);
             require(handshake >= 0, "handshake", handshake);
+            require(peer >= 0, "peer", peer);
+        }
+
+        /** Prices where messages between balancers are free. */
+        public Prices(double crossZone, double handshake) {
+            this(crossZone, handshake, 0);
         }
     }
 
     /** What the site allows. {@code retryAfterMax} is 0 where clients get no such advice. */
     record Limits(int maxAttempts, boolean mayDuplicate, boolean mayCancel, boolean mayProbe,
-            long connectTimeout, long retryAfterMax) {
+            long connectTimeout, long retryAfterMax, boolean mayTell) {
         public Limits {
             require(maxAttempts > 0, "maxAttempts", maxAttempts);
         }
+
+        /** Limits where balancers may not send one another messages. */
+        public Limits(int maxAttempts, boolean mayDuplicate, boolean mayCancel, boolean mayProbe,
+                long connectTimeout, long retryAfterMax) {
+            this(maxAttempts, mayDuplicate, mayCancel, mayProbe, connectTimeout, retryAfterMax, false);
+        }
     }
 
     /** The figures of the rules; {@code orderPause}: a key's rest after an attempt that may still run. */
@@ -190,7 +205,7 @@
     /** The time asked for with {@link Actions#wake} has come. */
     void wake(long now, Actions out);
 
-    /** A message from another balancer; junctionhead sends none and reads none. */
+    /** A message from the balancer of that number, late or not at all; the module keeps {@code data}. */
     default void peerMessage(long now, int from, byte[] data, Actions out) { }
 
     /** What the module may ask for: a sink that the caller implements. */
--- a/src/main/java/junctionhead/SettingsReader.java
+++ b/src/main/java/junctionhead/SettingsReader.java
@@ -80,7 +80,8 @@
         int tries = (int) Math.min(Integer.MAX_VALUE, whole("Limits.TryLimit", null));
         Policy.Limits limits = new Policy.Limits(tries,
             flag("Limits.MayDuplicate", null), flag("Limits.Cancel", null), flag("Limits.Probes", null),
-            whole("Limits.DialTimeout", 0L), advice ? whole("Limits.MaxRetryAfter", 0L) : 0L);
+            whole("Limits.DialTimeout", 0L), advice ? whole("Limits.MaxRetryAfter", 0L) : 0L,
+            flag("Limits.PeerMessages", false));
         boolean ask = word(Policy.Discovery.class, "MembershipMode", null) == Policy.Discovery.ASK;
         Policy.Bounds bounds = new Policy.Bounds(whole("Rules.AnswerSlack", null),
             whole("Rules.DrainGrace", null), whole("Rules.AskWithin", ask ? null : 0L),
@@ -91,7 +92,8 @@
         return new Settings((int) Math.min(Integer.MAX_VALUE, whole("Balancers", null)),
             (int) whole("Rank", 0L), zone(zones), List.copyOf(classes), List.copyOf(tenants),
             decimal("OverShareWorth", 1.0), goal,
-            new Policy.Prices(decimal("Prices.CrossZone", 0.0), decimal("Prices.Handshake", 0.0)),
+            new Policy.Prices(decimal("Prices.CrossZone", 0.0), decimal("Prices.Handshake", 0.0),
+                decimal("Prices.Peer", 0.0)),
             text("WorthBy", "request").equals("work"),
             ask ? Policy.Discovery.ASK : Policy.Discovery.PUSH,
             word(Policy.Reports.class, "Stats.How", "none"), flag("Specifics.WarmKeys", false), limits,
--- a/src/main/java/junctionhead/net/Config.java
+++ b/src/main/java/junctionhead/net/Config.java
@@ -17,10 +17,15 @@
 
 /** What a balancer is told at its start, by its environment and its configuration file. */
 record Config(String name, InetSocketAddress listen, InetSocketAddress discovery, long seed, int sockets,
-        Targets known, SettingsReader.Boot boot) {
+        Targets known, SettingsReader.Boot boot, Peers peers) {
     private static final Path LIMITS = Path.of("/proc/self/limits");
     private static final int SOCKETS = 1024;        // assumed where neither file nor system tells
 
+    /** Where the balancers hear one another, by their numbers; null and empty where they may not. */
+    record Peers(InetSocketAddress listen, List<InetSocketAddress> all, InetSocketAddress everyone) {
+        static final Peers NONE = new Peers(null, List.of(), null);
+    }
+
     /** What is wrong with the configuration, in one line. */
     static final class Bad extends RuntimeException {
         private static final long serialVersionUID = 1L;
@@ -80,7 +85,19 @@
         int told = sockets instanceof Number ? ((Number) sockets).intValue() : Integer.MAX_VALUE;
         int most = Math.min(told, descriptors());
         return new Config(name, listen, discovery, seed(json.get("seed")),
-            most == Integer.MAX_VALUE ? SOCKETS : most, known, boot);
+            most == Integer.MAX_VALUE ? SOCKETS : most, known, boot, peers(json));
+    }
+
+    private static Peers peers(Map<String, Object> json) {
+        if (json.get("peer_listen") == null) {
+            return Peers.NONE;
+        }
+        Object named = json.get("peers");
+        List<InetSocketAddress> all = (named instanceof List<?> list ? list : List.of()).stream()
+            .map(p -> address("peers", String.valueOf(p))).toList();
+        Object everyone = json.get("peers_all");
+        return new Peers(address("peer_listen", String.valueOf(json.get("peer_listen"))), all,
+            everyone == null ? null : address("peers_all", String.valueOf(everyone)));
     }
 
     private static String told(Map<String, String> environment, String variable, Map<String, Object> json,
--- a/src/main/java/junctionhead/net/Dispatcher.java
+++ b/src/main/java/junctionhead/net/Dispatcher.java
@@ -82,6 +82,7 @@
     private final ArrayDeque<LongConsumer> waiting = new ArrayDeque<>();
     private Upstreams upstreams;
     private Discovery discovery;
+    private PeerLink peers;
     private boolean handing;
     private boolean retired;
     private long taken;
@@ -99,10 +100,16 @@
         this.events = events;
     }
 
-    /** {@code by} may be null: a rehearsal has no discovery. */
-    void attach(Upstreams to, Discovery by) {
+    /** {@code by} and {@code others} may be null: a rehearsal has no discovery and no peers. */
+    void attach(Upstreams to, Discovery by, PeerLink others) {
         upstreams = to;
         discovery = by;
+        peers = others;
+    }
+
+    /** A message of another balancer. */
+    void heard(int from, byte[] data) {
+        hand(now -> policy.peerMessage(now, from, data, this));
     }
 
     /** µs since 1970 by the monotonic clock: comparable with an upstream's start, and never going back. */
@@ -336,10 +343,11 @@
         upstreams.closeIdle(server);
     }
 
-    /** Balancers share nothing here: the module sends no messages, and there is no way for one. */
     @Override
     public void tell(int peer, byte[] data) {
-        throw new UnsupportedOperationException("messages between balancers");
+        if (peers != null) {
+            peers.tell(peer, data);
+        }
     }
 
     @Override
--- a/src/main/java/junctionhead/net/Events.java
+++ b/src/main/java/junctionhead/net/Events.java
@@ -27,7 +27,9 @@
         /** An attempt that ended otherwise than served. */
         ATTEMPT,
         /** An upstream's answer that can't be read, or that nobody asked for. */
-        UNREADABLE;
+        UNREADABLE,
+        /** A datagram that is no peer's message. */
+        STRAY;
 
         String word() {
             return name().toLowerCase(Locale.ROOT);
--- a/src/main/java/junctionhead/net/Node.java
+++ b/src/main/java/junctionhead/net/Node.java
@@ -26,6 +26,7 @@
     private final Dispatcher dispatcher;
     private final Upstreams upstreams;
     private final Discovery discovery;
+    private final PeerLink peers;
     private final ClientServer clients;
     private final Config config;
     private final Descriptors descriptors;
@@ -48,7 +49,8 @@
             this::listed, log);
         clients = new ClientServer(loop, config.boot(), dispatcher, descriptors, upstreams::shedIdle,
             events);
-        dispatcher.attach(upstreams, discovery);
+        peers = new PeerLink(loop, config.peers(), dispatcher::heard, events);
+        dispatcher.attach(upstreams, discovery, peers);
     }
 
     /** Runs a balancer until it is told to stop; returns only if it can't start. */
@@ -90,6 +92,7 @@
         loop.execute(() -> {
             listed(Policy.ListKind.PERSISTED, config.known());
             discovery.start();
+            peers.start(log);
             loop.scheduleWithFixedDelay(
                 () -> events.summary(() -> dispatcher.summary() + ", " + descriptors + ": " + clients
                     + ", " + upstreams),
@@ -149,6 +152,7 @@
         });
         loop.schedule(() -> {
             clients.close();
+            peers.close();
             dispatcher.whenIdle(() -> loop.schedule(stopped::countDown, FLUSH_MS, TimeUnit.MILLISECONDS));
         }, LINGER_MS, TimeUnit.MILLISECONDS);
         await();
--- /dev/null
+++ b/src/main/java/junctionhead/net/PeerLink.java
@@ -0,0 +1,117 @@
+package junctionhead.net;
+
+import io.netty.bootstrap.Bootstrap;
+import io.netty.buffer.ByteBufUtil;
+import io.netty.buffer.Unpooled;
+import io.netty.channel.Channel;
+import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.ChannelOption;
+import io.netty.channel.EventLoop;
+import io.netty.channel.FixedRecvByteBufAllocator;
+import io.netty.channel.SimpleChannelInboundHandler;
+import io.netty.channel.socket.DatagramPacket;
+import io.netty.channel.socket.InternetProtocolFamily;
+import io.netty.channel.socket.nio.NioDatagramChannel;
+import io.netty.util.concurrent.Future;
+import java.net.InetSocketAddress;
+import java.util.function.Consumer;
+
+/**
+ * Datagrams between this balancer and its peers. Each is sent once and may be lost; what does not fit, comes
+ * from nobody known or can't be sent now is dropped and counted.
+ */
+final class PeerLink {
+    static final int MESSAGE_MOST = 256;
+
+    /** Where a peer's message goes, with the peer's number. */
+    interface Listener {
+        void heard(int from, byte[] data);
+    }
+
+    private final EventLoop loop;
+    private final Config.Peers peers;
+    private final Listener listener;
+    private final Events events;
+    private Channel channel;                        // null until bound, and where there is no peer
+
+    PeerLink(EventLoop loop, Config.Peers peers, Listener listener, Events events) {
+        this.loop = loop;
+        this.peers = peers;
+        this.listener = listener;
+        this.events = events;
+    }
+
+    /** Binds; a failure is told and leaves the balancer without messages: it can do without. */
+    Future<Void> start(Consumer<String> log) {
+        if (peers.listen() == null || peers.all().isEmpty()) {
+            return loop.newSucceededFuture(null);
+        }
+        return new Bootstrap().group(loop)
+            .channelFactory(() -> new NioDatagramChannel(InternetProtocolFamily.IPv4))
+            // One byte more than a message may have: a longer one is seen to be too long.
+            .option(ChannelOption.RCVBUF_ALLOCATOR, new FixedRecvByteBufAllocator(MESSAGE_MOST + 1))
+            .handler(new Arrivals()).bind(peers.listen()).addListener(bound -> {
+                if (!bound.isSuccess()) {
+                    log.accept("no messages between balancers: can't listen on " + peers.listen() + ": "
+                        + bound.cause().getMessage());
+                }
+            });
+    }
+
+    /** Sends to the peer of that number, or to all where it is negative. */
+    void tell(int peer, byte[] data) {
+        if (channel == null || data.length > MESSAGE_MOST || peer >= peers.all().size()) {
+            return;
+        }
+        if (peer >= 0) {
+            send(peers.all().get(peer), data);
+        } else if (peers.everyone() != null) {
+            send(peers.everyone(), data);
+        } else {
+            peers.all().stream().filter(p -> !p.equals(peers.listen())).forEach(p -> send(p, data));
+        }
+    }
+
+    private void send(InetSocketAddress to, byte[] data) {
+        if (channel.isWritable()) {
+            channel.writeAndFlush(new DatagramPacket(Unpooled.wrappedBuffer(data), to));
+        }
+    }
+
+    void close() {
+        if (channel != null) {
+            channel.close();
+        }
+    }
+
+    private final class Arrivals extends SimpleChannelInboundHandler<DatagramPacket> {
+        @Override
+        public void channelActive(ChannelHandlerContext context) {
+            channel = context.channel();
+        }
+
+        @Override
+        public void channelInactive(ChannelHandlerContext context) {
+            channel = null;
+        }
+
+        @Override
+        protected void channelRead0(ChannelHandlerContext context, DatagramPacket packet) {
+            if (packet.sender().equals(peers.listen())) {
+                return;                             // to everyone was to this one too
+            }
+            int from = peers.all().indexOf(packet.sender());
+            if (from < 0 || packet.content().readableBytes() > MESSAGE_MOST) {
+                events.tell(Events.Kind.STRAY, null, () -> packet.content().readableBytes() + " bytes from "
+                    + packet.sender());
+                return;
+            }
+            listener.heard(from, ByteBufUtil.getBytes(packet.content()));
+        }
+
+        @Override
+        public void exceptionCaught(ChannelHandlerContext context, Throwable cause) {
+            events.tell(Events.Kind.STRAY, null, () -> String.valueOf(cause));
+        }
+    }
+}
--- a/src/main/java/junctionhead/net/Rehearsal.java
+++ b/src/main/java/junctionhead/net/Rehearsal.java
@@ -52,7 +52,7 @@
         Descriptors descriptors = new Descriptors(config.sockets());
         back = new Upstreams(loop, boot, descriptors, dispatcher::now, quiet);
         front = new Upstreams(loop, boot, descriptors, dispatcher::now, quiet);
-        dispatcher.attach(back, null);
+        dispatcher.attach(back, null, null);
     }
 
     Dispatcher dispatcher() {
--- a/src/test/java/junctionhead/Harness.java
+++ b/src/test/java/junctionhead/Harness.java
@@ -42,6 +42,7 @@
     final Map<String, String> finals = new LinkedHashMap<>();
     final List<String> cancels = new ArrayList<>();
     final List<String> log = new ArrayList<>();
+    final List<byte[]> told = new ArrayList<>();
     long now = START;
     long wakeAt = Long.MAX_VALUE;
     int watches;
@@ -207,6 +208,7 @@
     @Override
     public void tell(int peer, byte[] data) {
         log.add(now + " tell " + peer);
+        told.add(data);
     }
 
     @Override
--- /dev/null
+++ b/src/test/java/junctionhead/PeersTest.java
@@ -0,0 +1,108 @@
+package junctionhead;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.util.Arrays;
+import java.util.List;
+import junctionhead.Policy.Discovery;
+import junctionhead.Policy.Effect;
+import junctionhead.Policy.ListKind;
+import junctionhead.Policy.Outcome;
+import junctionhead.Policy.Scope;
+import org.junit.jupiter.api.Test;
+
+/** What balancers tell one another, and that nothing depends on it. */
+class PeersTest {
+    private static final Policy.RequestClass UNSAFE = Harness.kind(Effect.UNSAFE, Scope.ALL);
+
+    private static Harness harness(int balancers, int rank, boolean mayTell, int servers) {
+        Policy.Settings base = Harness.settings(balancers, true, Discovery.PUSH, List.of(), UNSAFE);
+        Policy.Limits limits = new Policy.Limits(5, true, true, true, 250_000, 0, mayTell);
+        return new Harness(new Policy.Settings(balancers, rank, 0, base.classes(), base.tenants(),
+            base.overShareWorth(), base.goal(), base.prices(), base.worthByWork(), base.discovery(),
+            base.reports(), base.warmKeys(), limits, base.bounds(), base.tick()), 5)
+            .list(ListKind.PERSISTED, Harness.fleet(servers));
+    }
+
+    /** The last message of balancer 1, which has many attempts out at the first two servers. */
+    private static byte[] busy() {
+        Harness other = harness(14, 1, true, 2);
+        for (int i = 0; i < 12; i++) {
+            other.request("busy" + i, 0);
+        }
+        other.pass(1_300_000);
+        return other.told.get(other.told.size() - 1);
+    }
+
+    /** How many of forty requests, served one by one, go to the first two servers. */
+    private static long toTheFirstTwo(Harness harness) {
+        int before = harness.sends.size();
+        for (int i = 0; i < 40; i++) {
+            Harness.Sent sent = harness.request("r" + harness.now + "/" + i, 0);
+            harness.pass(5_000);
+            harness.end(sent, Outcome.OK);
+        }
+        return harness.sends.stream().skip(before).filter(s -> s.server.compareTo("s2") < 0).count();
+    }
+
+    @Test
+    void theQueuesThatOthersTellOfAreAvoided() {
+        // Own queues said nothing: sends met 5.7 attempts of all balancers, the mean of all servers.
+        Harness harness = harness(14, 0, true, 6);
+        harness.policy.peerMessage(harness.now, 1, busy(), harness);
+        assertTrue(toTheFirstTwo(harness) == 0, "busy servers are avoided");
+    }
+
+    @Test
+    void whatWasToldIsForgottenInSilenceAndReplacedByNews() {
+        Harness harness = harness(14, 0, true, 6);
+        harness.policy.peerMessage(harness.now, 1, busy(), harness);
+        harness.pass(2_000_000);
+        assertTrue(toTheFirstTwo(harness) >= 6, "a balancer that is gone holds nothing");
+        harness.policy.peerMessage(harness.now, 1, busy(), harness);
+        harness.policy.peerMessage(harness.now, 1, new byte[] {1, 0}, harness);
+        assertTrue(toTheFirstTwo(harness) >= 6, "the last message counts");
+    }
+
+    @Test
+    void whatIsNoMessageIsPassedOver() {
+        Harness harness = harness(14, 0, true, 6);
+        byte[] busy = busy();
+        byte[] other = busy.clone();
+        other[0] = 9;
+        for (byte[] data : List.of(new byte[0], new byte[1], new byte[300], other,
+                Arrays.copyOf(busy, busy.length - 1), new byte[] {1, (byte) 255, 0, 0})) {
+            harness.policy.peerMessage(harness.now, 1, data, harness);
+        }
+        for (int from : new int[] {-1, 0, 14, Integer.MAX_VALUE}) {
+            harness.policy.peerMessage(harness.now, from, busy, harness);
+        }
+        assertEquals(1, harness.log.stream().filter(l -> l.contains("passed over a message")).count());
+        assertTrue(toTheFirstTwo(harness) >= 6, "nothing was learnt");
+    }
+
+    @Test
+    void aMessageHasAtMostItsBytesHoweverManyServersThereAre() {
+        Harness harness = harness(14, 0, true, 300);
+        for (int i = 0; i < 600; i++) {
+            harness.request("r" + i, 0);
+        }
+        harness.pass(1_300_000);
+        assertTrue(harness.told.stream().anyMatch(data -> data.length > 180));
+        assertTrue(harness.told.stream().allMatch(data -> data.length <= 256));
+    }
+
+    @Test
+    void nothingIsToldWhereItMayNotOrNobodyIsThere() {
+        for (Harness harness : List.of(harness(14, 0, false, 6), harness(1, 0, true, 6))) {
+            harness.request("r", 0);
+            harness.pass(3_000_000);
+            assertTrue(harness.told.isEmpty());
+        }
+        Harness harness = harness(2, 0, true, 6);
+        harness.pass(3_000_000);
+        assertFalse(harness.told.isEmpty());
+    }
+}
