Take a short life's counts for what they are: new servers starved after a start

Restarted balancers are ten of fourteen.

Excluded: the list (all 42 were listed by then), the cold margin itself (the survivors' budgets are not at issue), ejection (none of the 42 was ejected).

Lines at fault: Balance.refresh divided answers by FADE, 10 s, though the balancer had lived for two of them: its cold servers got a fifth of their part, below even the guess for the unknown. The rate is now that of the time lived.

Test: FleetTest, which saw 3 sends instead of 6 or more.

--- a/src/main/java/junctionhead/Balance.java
+++ b/src/main/java/junctionhead/Balance.java
@@ -374,7 +374,7 @@
                 weight += n.server.weight();
             }
         }
-        warmRate = weight <= 0 ? 0 : oks / FADE * 1e6 / weight;
+        warmRate = weight <= 0 ? 0 : perSecond(oks, now) / weight;
         allLookBad = mostLookBad(now);
         silentPeers = peers.silent(now);
         for (int i = 0; i < allFail.length; i++) {
--- a/src/test/java/junctionhead/FleetTest.java
+++ b/src/test/java/junctionhead/FleetTest.java
@@ -50,4 +50,18 @@
         long refused = bring(harness, 60, 4, 300_000);
         assertTrue(refused <= 24, refused + " of 240 were refused within the share");
     }
+
+    @Test
+    void aColdServerGetsItsPartFromABalancerThatHasJustStarted() {
+        // Two seconds' answers were taken as ten seconds': new servers idled while the old ones were overrun.
+        Harness harness = harness(14, 9);
+        List<Policy.Server> cold = List.of(new Policy.Server("cold", Policy.State.UP,
+            harness.now - 8_000_000, 1, 0, 0, 0));
+        harness.list(ListKind.PARTIAL, cold);
+        bring(harness, 50, 2, 20_000);
+        long from = harness.now;
+        bring(harness, 50, 2, 20_000);
+        long sent = harness.sentTo("cold", from);
+        assertTrue(sent >= 6 && sent <= 20, "a tenth of 100 would be 10, its part 5 to 11: " + sent);
+    }
 }
