Leave out servers that can't be connected to, however many look bad

Excluded: slow detection (from 9 s on failures are few, at 12 s all come back); time-outs of silent connects (refused at once); CPU.

Lines at fault: Balance.mostLookBad: with more than half of the servers out the fault was taken to be elsewhere, and all were used. Servers whose last two connects failed no longer count there while others can be reached. They are tried again each second, not after up to 16 s: they are back before the list tells.

Test: FleetTest, a lost zone of many sizes (fails where it is most of the fleet) and a fleet of which nothing can be reached.

--- a/src/main/java/junctionhead/Balance.java
+++ b/src/main/java/junctionhead/Balance.java
@@ -52,6 +52,7 @@
     private static final long EJECT_FIRST = 1_000_000;  // µs, first ejection; doubles each time
     private static final int EJECT_DOUBLINGS = 4;       // up to 16 s
     private static final int TRIALS_OK = 3;             // successes in a row, one at a time, that end a trial
+    private static final int CUT_OFF = 2;               // failed connects in a row that say so
     private static final double SILENCE = 3; // silent for this multiple of the usual latency: stalled
     // Shedding: the mean of latency / aim steers which share of the arrivals is turned away, cheapest first.
     private static final double STRAIN_CHEAP = 0.40;    // above it the cheapest requests are turned away
@@ -89,6 +90,7 @@
     private final Map<String, Node> nodes = new LinkedHashMap<>();
     private List<Node> listed = new ArrayList<>();      // up, in the seeded order
     private boolean allLookBad;                         // or most of them: the fault is elsewhere
+    private boolean noneReached;                        // every server is cut off, or so it seems
     private final boolean[] allFail;                    // the same for each class
     private final TreeMap<Long, Node> points = new TreeMap<>(); // the ring: listed servers, more by weight
     private Node[] ring;                                // the same for keys, made when one asks for it
@@ -250,7 +252,7 @@
             n.walk = walk;
             if (permitted(r.kind, n.server) && mayRunOn(r, n, now) && hasColdBudget(n, now)
                     && (allFail[r.number] || n.classes[r.number].admits(now))
-                    && (allLookBad || healthy(n, r, now))) {
+                    && (allLookBad && !cutOff(n) || healthy(n, r, now))) {
                 (wasTried(r, n) ? tried : fresh).add(n);
                 int counts = warmth(n, now) >= 1 ? 1 : 0;
                 met += counts;
@@ -297,9 +299,17 @@
         return now - oldest.at > patience && now - n.lastOk > patience;
     }
 
-    // Bounds ejection: when most servers look bad the fault is likely elsewhere, and all are used.
+    // Bounds ejection: when most servers look bad the fault is likely elsewhere, and all are used. Those that
+    // can't be connected to don't count while others can be: with a zone of more than half the servers lost,
+    // all were used, and most attempts went to the lost ones.
     private boolean mostLookBad(long now) {
-        return 2 * listed.stream().filter(n -> looksBad(n, now)).count() > listed.size();
+        noneReached = listed.stream().allMatch(n -> n.unreached >= CUT_OFF);
+        long reached = listed.stream().filter(n -> !cutOff(n)).count();
+        return 2 * listed.stream().filter(n -> !cutOff(n) && looksBad(n, now)).count() > reached;
+    }
+
+    private boolean cutOff(Node n) {
+        return n.unreached >= CUT_OFF && !noneReached;
     }
 
     // Rule 6: a class may be bound to zones and kinds of machine, at every attempt.
@@ -707,6 +717,8 @@
         RequestClass kind = a.request.kind;
         int number = a.request.number;
         double usually = usual[number] * a.request.size;
+        n.unreached = outcome == Outcome.CONNECT_FAILED ? n.unreached + 1
+            : outcome == Outcome.NOT_SENT || outcome == Outcome.CANCELLED ? n.unreached : 0;
         switch (outcome) {
             case OK -> {
                 n.oks += scale;
@@ -765,7 +777,9 @@
         if (n.ejectedUntil > now) {
             return;
         }
-        long length = EJECT_FIRST << Math.min(EJECT_DOUBLINGS, n.ejections++);
+        // A connect that fails costs little, and a lost zone is back before the list tells.
+        int doublings = n.unreached > 0 ? 0 : Math.min(EJECT_DOUBLINGS, n.ejections++);
+        long length = EJECT_FIRST << doublings;
         n.ejectedUntil = now + length + random.nextLong(length / 4);
         n.trial = TRIALS_OK;
         remark(now, "ejected " + n.server.id() + " for " + length / 1000 + " ms after failures", out);
--- a/src/main/java/junctionhead/Books.java
+++ b/src/main/java/junctionhead/Books.java
@@ -30,6 +30,7 @@
         double oks;                                     // faded
         double fails;                                   // faded
         long lastOk;
+        int unreached;                                  // failed connects since one came up
         long ejectedUntil;
         int ejections;
         long fullUntil;                                 // turned an attempt away: rests for a moment
--- a/src/test/java/junctionhead/FleetTest.java
+++ b/src/test/java/junctionhead/FleetTest.java
@@ -4,12 +4,15 @@
 
 import java.util.Collections;
 import java.util.List;
+import java.util.function.Predicate;
 import junctionhead.Policy.Discovery;
 import junctionhead.Policy.Effect;
 import junctionhead.Policy.ListKind;
 import junctionhead.Policy.Outcome;
 import junctionhead.Policy.Scope;
 import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
 
 /** What a balancer must not do, or learn too late, where it is one of many before many servers. */
 class FleetTest {
@@ -64,4 +67,45 @@
         long sent = harness.sentTo("cold", from);
         assertTrue(sent >= 6 && sent <= 20, "a tenth of 100 would be 10, its part 5 to 11: " + sent);
     }
+
+    /** Of 400 requests, those whose every attempt met one of the servers that {@code lost} names. */
+    private static long unserved(Harness harness, Predicate<String> lost) {
+        long unserved = 0;
+        for (int i = 0; i < 400; i++) {
+            String id = "u" + harness.now;
+            harness.request(id, 0, i % TENANTS.size(), Harness.DEADLINE);
+            harness.pass(1_000);
+            for (int tries = 0; tries < 5; tries++) {
+                harness.sends.stream().filter(s -> !s.ended && lost.test(s.server)).toList()
+                    .forEach(s -> harness.end(s, Outcome.CONNECT_FAILED));
+            }
+            harness.pass(9_000);
+            harness.sends.stream().filter(s -> !s.ended).toList().forEach(s -> harness.end(s, Outcome.OK));
+            unserved += "ok".equals(harness.finals.get(id)) ? 0 : 1;
+        }
+        return unserved;
+    }
+
+    @ParameterizedTest
+    @CsvSource({"60, 12", "60, 40", "10, 6", "10, 7", "2, 1"})
+    void aLostZoneGetsNoTrafficHoweverManyOfTheServersItHolds(int servers, int lost) {
+        // With 38 of 60 servers gone all were used, and two balancers had 1,500 failed connects in 2 s.
+        Harness harness = harness(14, servers);
+        unserved(harness, s -> false);
+        unserved(harness, s -> Integer.parseInt(s.substring(1)) < lost);
+        long from = harness.now;
+        long unserved = unserved(harness, s -> Integer.parseInt(s.substring(1)) < lost);
+        long wasted = harness.sends.stream().filter(s -> s.at >= from && s.request.startsWith("u")
+            && Integer.parseInt(s.server.substring(1)) < lost).count();
+        assertTrue(wasted < 200 && unserved < 8, wasted + " wasted, " + unserved + " unserved of 400");
+    }
+
+    @Test
+    void whereNoServerCanBeReachedAllAreTriedAndServiceResumes() {
+        Harness harness = harness(14, 10);
+        unserved(harness, s -> false);
+        unserved(harness, s -> true);
+        assertTrue(unserved(harness, s -> false) < 150, "reachable again");
+        assertTrue(unserved(harness, s -> false) < 4, "as before");
+    }
 }
