Let a server that turns away rest longer each time: retries kept full ones busy

Each balancer rests a full server for its own usual latency; fourteen of them come back at once.

Excluded: retries after failures that may have run (their budget is not touched by refusals); the connections' idle time (most were in use).

Lines at fault: Balance.learn, FULL: the rest did not grow. It doubles up to eight times, until an answer comes.

Placement of a class and a server's oldest attempt move to the records they belong to.

--- a/src/main/java/junctionhead/Balance.java
+++ b/src/main/java/junctionhead/Balance.java
@@ -52,6 +52,7 @@
     private static final long EJECT_FIRST = 1_000_000;  // µs, first ejection; doubles each time
     private static final int EJECT_DOUBLINGS = 4;       // up to 16 s
     private static final int TRIALS_OK = 3;             // successes in a row, one at a time, that end a trial
+    private static final int FULL_DOUBLINGS = 3;        // of the rest of a server that turns away
     private static final int CUT_OFF = 2;               // failed connects in a row that say so
     private static final double SILENCE = 3; // silent for this multiple of the usual latency: stalled
     // Shedding: the mean of latency / aim steers which share of the arrivals is turned away, cheapest first.
@@ -250,7 +251,7 @@
                 continue;
             }
             n.walk = walk;
-            if (permitted(r.kind, n.server) && mayRunOn(r, n, now) && hasColdBudget(n, now)
+            if (r.kind.permits(n.server) && mayRunOn(r, n, now) && hasColdBudget(n, now)
                     && (allFail[r.number] || n.classes[r.number].admits(now))
                     && (allLookBad && !cutOff(n) || healthy(n, r, now))) {
                 (wasTried(r, n) ? tried : fresh).add(n);
@@ -283,15 +284,8 @@
         return n.ejectedUntil > now || n.fullUntil > now || stalled(n, now);
     }
 
-    private static Attempt oldest(Node n) {
-        while (!n.sent.isEmpty() && !n.sent.peekFirst().out) {
-            n.sent.pollFirst();
-        }
-        return n.sent.peekFirst();
-    }
-
     private boolean stalled(Node n, long now) {
-        Attempt oldest = oldest(n);
+        Attempt oldest = n.oldest();
         if (oldest == null) {
             return false;
         }
@@ -312,12 +306,6 @@
         return n.unreached >= CUT_OFF && !noneReached;
     }
 
-    // Rule 6: a class may be bound to zones and kinds of machine, at every attempt.
-    private static boolean permitted(RequestClass kind, Server s) {
-        return (kind.zones().isEmpty() || kind.zones().contains(s.zone()))
-            && (kind.machineKinds().isEmpty() || kind.machineKinds().contains(s.kind()));
-    }
-
     // Rule 5: whether all earlier requests of the key are over, and what they left may no longer run.
     private static boolean hasTurn(Request r, long now) {
         return r.turn == null
@@ -723,6 +711,7 @@
             case OK -> {
                 n.oks += scale;
                 n.lastOk = now;
+                n.fulls = 0;
                 a.health.served(() -> remark(now, "recovered " + n.server.id() + ", class " + number, out));
                 slowed(n, latency / usually, now);
                 usual[number] += SMOOTH * (latency - usual[number]);
@@ -744,7 +733,9 @@
                 // A hung server fills up and then only turns away: without answers that is no mere overload.
                 failed(n, now - n.lastOk > QUICK ? 0.5 : 0, (long) usual[number], now, out);
                 // It answers in no time, so it would win again and again while its queue is longest of all.
-                n.fullUntil = now + (long) (usual[number] * (0.5 + random.nextDouble()));
+                // Longer each time: all balancers' retries, each with a handshake, kept full ones busy.
+                double times = 1 << Math.min(FULL_DOUBLINGS, n.fulls++);
+                n.fullUntil = now + (long) (usual[number] * (0.5 + random.nextDouble()) * times);
                 strained(FULL_STRAIN, now);
             }
             // A time-out may be the fault of the load: it takes more of them.
--- a/src/main/java/junctionhead/Books.java
+++ b/src/main/java/junctionhead/Books.java
@@ -30,6 +30,7 @@
         double oks;                                     // faded
         double fails;                                   // faded
         long lastOk;
+        int fulls;                                      // attempts turned away since one was served
         int unreached;                                  // failed connects since one came up
         long ejectedUntil;
         int ejections;
@@ -44,6 +45,14 @@
             this.hash = Hashing.hash(server.id());
             this.order = order;
         }
+
+        /** The attempt that has been out for longest, or null. */
+        Attempt oldest() {
+            while (!sent.isEmpty() && !sent.peekFirst().out) {
+                sent.pollFirst();
+            }
+            return sent.peekFirst();
+        }
     }
 
     /** One send of a request to a server. */
--- a/src/main/java/junctionhead/Policy.java
+++ b/src/main/java/junctionhead/Policy.java
@@ -79,6 +79,12 @@
             require(aimStretch >= 0, "aimStretch", aimStretch);
         }
 
+        /** Rule 6: a class may be bound to zones and kinds of machine, at every attempt. */
+        boolean permits(Server s) {
+            return (zones.isEmpty() || zones.contains(s.zone()))
+                && (machineKinds.isEmpty() || machineKinds.contains(s.kind()));
+        }
+
         /** A class without order or placement. */
         public RequestClass(Effect effect, Scope scope, long keyMemory, long aim, long deadline,
                 double aimStretch, double worth, double lateShare, boolean streamed) {
--- a/src/test/java/junctionhead/FleetTest.java
+++ b/src/test/java/junctionhead/FleetTest.java
@@ -108,4 +108,22 @@
         assertTrue(unserved(harness, s -> false) < 150, "reachable again");
         assertTrue(unserved(harness, s -> false) < 4, "as before");
     }
+
+    @Test
+    void aServerThatTurnsAllAwayRestsLongerEachTime() {
+        // 740 attempts a second were turned away, each for the price of a handshake at a full server.
+        Harness harness = harness(14, 6);
+        bring(harness, 100, 2, 100_000);
+        long from = harness.now;
+        while (harness.now < from + 1_500_000) {
+            harness.request("f" + harness.now, 0);
+            harness.sends.stream().filter(s -> !s.ended && s.server.equals("s1")).toList()
+                .forEach(s -> harness.end(s, Outcome.FULL));
+            harness.pass(5_000);
+            harness.sends.stream().filter(s -> !s.ended && s.at + 100_000 <= harness.now).toList()
+                .forEach(s -> harness.end(s, Outcome.OK));
+        }
+        long sent = harness.sentTo("s1", from);
+        assertTrue(sent >= 3 && sent <= 8, "it is tried now and then: " + sent);
+    }
 }
