Tell other balancers which classes a server fails: all paid for one discovery

Excluded: Health itself, which rests a server after two failures in some five; at 0.6 requests a second of a class to a server that takes seconds, fourteen times.

Lines at fault: none wrong alone; each balancer learnt alone. Who hears of one rests the server a second longer than its finder, whose trial then tells all.

--- a/src/main/java/junctionhead/Balance.java
+++ b/src/main/java/junctionhead/Balance.java
@@ -781,7 +781,7 @@
 
     @Override
     public void peerMessage(long now, int from, byte[] data, Actions out) {
-        if (!peers.heard(now, from, data)) {
+        if (!peers.heard(now, from, data, listed)) {
             remark(now, "passed over a message of balancer " + from, out);
         }
     }
@@ -830,7 +830,7 @@
             ask(now, out);
         }
         if (peers.speaks() && now >= tellAt) {
-            out.tell(-1, peers.message(listed));
+            out.tell(-1, peers.message(listed, now));
             tellAt = now + (long) (peers.every(perSecond(arrivals, now)) * (0.75 + random.nextDouble() / 2));
         }
         wakeBy(now, open.isEmpty() ? REFRESH : tick, out);
--- a/src/main/java/junctionhead/Health.java
+++ b/src/main/java/junctionhead/Health.java
@@ -14,10 +14,12 @@
     private static final double SHARE = 0.15;           // at which it rests: two failures in some five
     private static final long REST_FIRST = 1_000_000;   // µs; doubles each time
     private static final int REST_DOUBLINGS = 4;        // up to 16 s
+    private static final long AFTER_FINDER = 1_000_000; // µs that one waits for who found it failing
     private static final int TRIALS_OK = 3;             // successes in a row that end a trial
 
     private double failing;
     private long restsUntil;
+    private long foundUntil;                            // the same, where this balancer found it failing
     private int rests;
     private int trial;                                  // successes still wanted, 0 = not on trial
     private int out;
@@ -49,6 +51,22 @@
         }
     }
 
+    /** Until when it rests for what this balancer has found itself. */
+    long foundUntil() {
+        return foundUntil;
+    }
+
+    /**
+     * Another balancer has it rest: so does this one, and then tries it first. A while later than the one
+     * that found it: that one's first trial tells all the others.
+     */
+    void heard(long until) {
+        if (until > restsUntil) {
+            restsUntil = until + AFTER_FINDER;
+            trial = TRIALS_OK;
+        }
+    }
+
     /** {@code rest} is told the length, in µs, of a rest that begins with this failure. */
     void failed(long now, SplittableRandom random, LongConsumer rest) {
         failing += RECENT * (1 - failing);
@@ -57,6 +75,7 @@
         }
         long length = REST_FIRST << Math.min(REST_DOUBLINGS, rests++);
         restsUntil = now + length + random.nextLong(length / 4);
+        foundUntil = restsUntil;
         trial = TRIALS_OK;
         rest.accept(length);
     }
