--- a/regress.sh
+++ b/regress.sh
@@ -12,9 +12,11 @@
   [ -e "$file" ] || { echo "regression: $file is missing, nothing was tested" >&2; exit 2; }
 done
 failed=()
-for panel in vast later; do
+for panel in size later; do
   echo "== panel $panel"
-  if ! report=$("$bench" score "$site" --panel "$panel" --quick --why "$why" 2>&1); then
+  # The days at size are what the bench plays where no panel is named: it knows no name for them.
+  if [ "$panel" = size ]; then flags=(); else flags=(--panel "$panel"); fi
+  if ! report=$("$bench" score "$site" "${flags[@]}" --quick --why "$why" 2>&1); then
     failed+=("$panel: the bench ended with an error")
   fi
   echo "$report"
