Open a door for operators: readiness, figures, drain and resume

It reads an immutable Stats that the main loop publishes every 0.1 s and posts drain and resume there. Metrics owns the counters: an end is counted where the dispatcher decides it, an attempt when its last byte is written. The module tells how many servers it keeps from requests. Drain is a state apart from SIGTERM's: not ready, still serving, each answer ends its connection, those at rest are closed from 0.6 s on.

Not taken: the door on the main loop (a busy loop would answer late), figures kept behind a lock (the loop would wait for a caller), a drain that closes connections at rest at once (clients are still sent here for 0.3 s and would meet closed ones).

There was no such address, so nothing else was suspected.

--- a/src/main/java/junctionhead/Balance.java
+++ b/src/main/java/junctionhead/Balance.java
@@ -280,6 +280,11 @@
             && (n.trial == 0 || n.inFlight == 0 && (r.kind.effect() == Effect.SAFE || !anySafe));
     }
 
+    @Override
+    public int avoided(long now) {
+        return (int) listed.stream().filter(n -> n.ejectedUntil > now).count();
+    }
+
     private boolean looksBad(Node n, long now) {
         return n.ejectedUntil > now || n.fullUntil > now || stalled(n, now);
     }
--- a/src/main/java/junctionhead/Policy.java
+++ b/src/main/java/junctionhead/Policy.java
@@ -211,6 +211,11 @@
     /** The time asked for with {@link Actions#wake} has come. */
     void wake(long now, Actions out);
 
+    /** How many of the listed servers get nothing now as they have failed; short rests don't count. */
+    default int avoided(long now) {
+        return 0;
+    }
+
     /** A message from the balancer of that number, late or not at all; the module keeps {@code data}. */
     default void peerMessage(long now, int from, byte[] data, Actions out) { }
 
--- a/src/main/java/junctionhead/net/ClientServer.java
+++ b/src/main/java/junctionhead/net/ClientServer.java
@@ -53,6 +53,8 @@
     private static final int PIPELINED_MOST = 16;   // requests that a client may send ahead on a connection
     private static final long REQUEST_MS = 2_200;   // for a first request, or one that has begun, to be whole
     private static final long ANSWER_MS = 2_200;    // for an answer to be taken in
+    private static final long DRAIN_FIRST_MS = 600; // after a drain's begin, until connections at rest go
+    private static final long DRAIN_EVERY_MS = 400;
     private static final long GREETING_NS = 300_000_000; // after it a silent newcomer may have to make room
     private static final Set<String> HOP_BY_HOP = Set.of("connection", "keep-alive", "proxy-connection",
         "proxy-authenticate", "proxy-authorization", "te", "trailer", "transfer-encoding", "upgrade",
@@ -72,6 +74,8 @@
     private long clients;                           // that have ever connected
     private boolean ready;
     private boolean stopping;
+    private boolean draining;                       // told by operators, who may take it back
+    private Future<?> emptying;                     // the next look at connections that a drain leaves
     private Rehearsal rehearsal;                    // while it is on
 
     ClientServer(EventLoop loop, SettingsReader.Boot boot, Dispatcher dispatcher, Descriptors descriptors,
@@ -123,8 +127,13 @@
         return open + " clients' (" + newcomers.size() + " new, " + idle.size() + " at rest)";
     }
 
+    /** Whether it would say so to a client that asks. */
+    boolean isReady() {
+        return ready && !draining && !stopping;
+    }
+
     void ready() {
-        ready = !stopping;
+        ready = true;
     }
 
     /** Serves a rehearsal's requests as well; null when it is over. */
@@ -134,15 +143,36 @@
 
     /** From here on answers end their connections; new ones are still taken. */
     void stopping() {
-        ready = false;
         stopping = true;
     }
 
     /** Takes no more connections and drops those that hold no request. */
     void close() {
         listener.close();
-        List.copyOf(idle).forEach(c -> c.channel.close());
-        newcomers.stream().filter(c -> !c.receiving && !c.busy).toList().forEach(c -> c.channel.close());
+        resting().forEach(c -> c.channel.close());
+    }
+
+    /** Empties the balancer: not ready, answers end their connections, and those at rest are closed soon. */
+    void drain() {
+        if (!draining && !stopping) {
+            draining = true;
+            // Clients are sent here for a moment more: what they have begun to write meanwhile is heard.
+            emptying = loop.scheduleWithFixedDelay(() -> resting().forEach(c -> c.drop("drained")),
+                DRAIN_FIRST_MS, DRAIN_EVERY_MS, TimeUnit.MILLISECONDS);
+        }
+    }
+
+    void resume() {
+        if (draining) {
+            draining = false;
+            emptying.cancel(false);
+        }
+    }
+
+    // Those that hold nothing of a request.
+    private List<Client> resting() {
+        return Stream.concat(idle.stream(), newcomers.stream()).filter(c -> !c.receiving && !c.busy)
+            .distinct().toList();
     }
 
     // Makes room before an accept can fail, and keeps half of the descriptors for the upstreams: clients need
@@ -281,8 +311,8 @@
             } else if (path.startsWith("/-/") && (rehearsal == null || !path.equals(Rehearsal.PATH))) {
                 boolean asked = path.equals("/-/ready") && request.method().equals(HttpMethod.GET);
                 HttpResponseStatus status = !asked ? HttpResponseStatus.NOT_FOUND
-                    : ready ? HttpResponseStatus.OK : HttpResponseStatus.SERVICE_UNAVAILABLE;
-                plain(status, !asked ? "not found" : ready ? "ready" : "not ready", keep);
+                    : isReady() ? HttpResponseStatus.OK : HttpResponseStatus.SERVICE_UNAVAILABLE;
+                plain(status, !asked ? "not found" : isReady() ? "ready" : "not ready", keep);
             } else {
                 Order order;
                 try {
@@ -333,7 +363,7 @@
                 String value, boolean keep) {
             gone = null;
             busy = true;
-            boolean stay = keep && (!ahead.isEmpty() || !stopping && !closing);
+            boolean stay = keep && (!ahead.isEmpty() || !stopping && !draining && !closing);
             closing |= !keep;
             FullHttpResponse response = new DefaultFullHttpResponse(HttpVersion.HTTP_1_1, status, body);
             if (type != null) {
@@ -370,7 +400,7 @@
             if (next != null) {
                 handle(next);
                 next.release();
-            } else if (closing || stopping) {
+            } else if (closing || stopping || draining) {
                 channel.close();
             } else if (receiving || decoder.holdsBytes()) {
                 receiving = true;
--- a/src/main/java/junctionhead/net/Config.java
+++ b/src/main/java/junctionhead/net/Config.java
@@ -15,9 +15,12 @@
 import java.util.stream.Collectors;
 import junctionhead.SettingsReader;
 
-/** What a balancer is told at its start, by its environment and its configuration file. */
+/**
+ * What a balancer is told at its start, by its environment and its configuration file. {@code admin} is null
+ * where operators have no door.
+ */
 record Config(String name, InetSocketAddress listen, InetSocketAddress discovery, long seed, int sockets,
-        Targets known, SettingsReader.Boot boot, Peers peers) {
+        Targets known, SettingsReader.Boot boot, Peers peers, InetSocketAddress admin) {
     private static final Path LIMITS = Path.of("/proc/self/limits");
     private static final int SOCKETS = 1024;        // assumed where neither file nor system tells
 
@@ -64,6 +67,7 @@
         InetSocketAddress listen = address("listen", told(environment, "ROUTER_LISTEN", json, "listen"));
         InetSocketAddress discovery =
             address("discovery", told(environment, "ROUTER_DISCOVERY", json, "discovery"));
+        String door = said(environment, "ROUTER_ADMIN", json, "admin");
         Object settings = json.get("settings");
         if (!(settings instanceof Map)) {
             throw new Bad("the configuration has no settings");
@@ -85,7 +89,8 @@
         int told = sockets instanceof Number ? ((Number) sockets).intValue() : Integer.MAX_VALUE;
         int most = Math.min(told, descriptors());
         return new Config(name, listen, discovery, seed(json.get("seed")),
-            most == Integer.MAX_VALUE ? SOCKETS : most, known, boot, peers(json));
+            most == Integer.MAX_VALUE ? SOCKETS : most, known, boot, peers(json),
+            door == null ? null : address("admin", door));
     }
 
     private static Peers peers(Map<String, Object> json) {
@@ -102,15 +107,22 @@
 
     private static String told(Map<String, String> environment, String variable, Map<String, Object> json,
             String field) {
+        String value = said(environment, variable, json, field);
+        if (value == null) {
+            throw new Bad(variable + " is not set, and the configuration has no " + field);
+        }
+        return value;
+    }
+
+    /** The same where it may be missing: null. */
+    private static String said(Map<String, String> environment, String variable, Map<String, Object> json,
+            String field) {
         String value = environment.get(variable);
-        Object other = json.get(field);
         if (value != null && !value.isBlank()) {
             return value;
         }
-        if (other instanceof String && !((String) other).isBlank()) {
-            return (String) other;
-        }
-        throw new Bad(variable + " is not set, and the configuration has no " + field);
+        Object other = json.get(field);
+        return other instanceof String && !((String) other).isBlank() ? (String) other : null;
     }
 
     private static InetSocketAddress address(String what, String text) {
--- a/src/main/java/junctionhead/net/Dispatcher.java
+++ b/src/main/java/junctionhead/net/Dispatcher.java
@@ -76,6 +76,7 @@
     private final Policy policy;
     private final Consumer<String> log;
     private final Events events;
+    private final Metrics metrics;
     private final long unixAtStart = System.currentTimeMillis() * 1000;
     private final long nanosAtStart = System.nanoTime();
     private final Map<String, Exchange> table = new HashMap<>();
@@ -92,12 +93,13 @@
     private Runnable whenIdle;
 
     Dispatcher(EventLoop loop, SettingsReader.Boot boot, Policy policy, Consumer<String> log,
-            Events events) {
+            Events events, Metrics metrics) {
         this.loop = loop;
         this.boot = boot;
         this.policy = policy;
         this.log = log;
         this.events = events;
+        this.metrics = metrics;
     }
 
     /** {@code by} and {@code others} may be null: a rehearsal has no discovery and no peers. */
@@ -174,6 +176,7 @@
                 log.accept("last-resort answers: " + guarded);
             }
             close(x);
+            metrics.errored(x.order.requestClass());
             x.reply.fail();
             hand(now -> policy.clientGone(now, x.id, this));
             for (Attempt a : x.attempts) {
@@ -213,6 +216,7 @@
         long latency = now() - a.at;
         if (outcome == Policy.Outcome.OK && !x.closed) {
             close(x);
+            metrics.answered(x.order.requestClass());
             x.reply.serve(answer);
         }
         if (outcome != Policy.Outcome.OK) {
@@ -252,6 +256,16 @@
         }
     }
 
+    /** Requests that have been taken and have no final answer yet. */
+    int owed() {
+        return owed;
+    }
+
+    /** Listed upstreams that get nothing now. */
+    int avoided() {
+        return policy.avoided(now());
+    }
+
     private String history(Exchange x) {
         return x.attempts.size() + " attempts, " + (x.deadline - now()) / 1000 + " ms left of "
             + x.order.timeLeft() / 1000;
@@ -292,6 +306,7 @@
         if (x != null && !x.closed) {
             close(x);
             events.tell(Events.Kind.REFUSED, x.order.id(), () -> history(x));
+            metrics.deferred(x.order.requestClass());
             x.reply.refuse(retryAfter);
             forget(x);
         }
@@ -303,6 +318,7 @@
         if (x != null && !x.closed) {
             close(x);
             events.tell(Events.Kind.FAILED, x.order.id(), () -> history(x));
+            metrics.errored(x.order.requestClass());
             x.reply.fail();
             forget(x);
         }
--- a/src/main/java/junctionhead/net/Node.java
+++ b/src/main/java/junctionhead/net/Node.java
@@ -17,6 +17,7 @@
     private static final long LINGER_MS = 600;      // after SIGTERM: clients go on coming for a while
     private static final long FLUSH_MS = 20;        // for the last answers to leave
 
+    private static final long PUBLISH_MS = 100;     // between figures for operators
     private static final long COUNTERS_S = 5;       // between looks at the counters
 
     private final Consumer<String> log;
@@ -30,9 +31,13 @@
     private final ClientServer clients;
     private final Config config;
     private final Descriptors descriptors;
+    private final Metrics metrics;
+    private final AdminServer admin;                // null where operators have no door
     private final CountDownLatch stopped = new CountDownLatch(1);
+    private InetSocketAddress doorAt;
     private boolean hasList;
     private boolean rehearsed;
+    private volatile Stats stats = Stats.NONE;      // as last published: all that the door's thread reads
 
     /** A node that is ready without a rehearsal, where {@code rehearse} is false. */
     Node(Config config, BiFunction<Policy.Settings, Long, Policy> module, boolean rehearse,
@@ -43,14 +48,46 @@
         descriptors = new Descriptors(config.sockets());
         Policy policy = module.apply(config.boot().settings(), config.seed());
         events = new Events(log, System::nanoTime);
-        dispatcher = new Dispatcher(loop, config.boot(), policy, log, events);
-        upstreams = new Upstreams(loop, config.boot(), descriptors, dispatcher::now, events);
+        metrics = new Metrics(config.boot().classes());
+        dispatcher = new Dispatcher(loop, config.boot(), policy, log, events, metrics);
+        upstreams = new Upstreams(loop, config.boot(), descriptors, dispatcher::now, events, metrics);
         discovery = new Discovery(loop, config.discovery(), config.boot(), config.known().rev(),
             this::listed, log);
         clients = new ClientServer(loop, config.boot(), dispatcher, descriptors, upstreams::shedIdle,
             events);
         peers = new PeerLink(loop, config.peers(), dispatcher::heard, events);
         dispatcher.attach(upstreams, discovery, peers);
+        admin = config.admin() == null ? null : new AdminServer(new Desk());
+    }
+
+    /** What operators ask for, handed to the loop. */
+    private final class Desk implements AdminServer.Desk {
+        @Override
+        public Stats stats() {
+            return stats;
+        }
+
+        @Override
+        public void drain() {
+            loop.execute(() -> {
+                log.accept("draining, as operators asked");
+                clients.drain();
+                publish();
+            });
+        }
+
+        @Override
+        public void resume() {
+            loop.execute(() -> {
+                log.accept("back to work, as operators asked");
+                clients.resume();
+                publish();
+            });
+        }
+    }
+
+    private void publish() {
+        stats = metrics.stats(clients.isReady(), dispatcher.owed(), upstreams.inList(), dispatcher.avoided());
     }
 
     /** Runs a balancer until it is told to stop; returns only if it can't start. */
@@ -88,8 +125,15 @@
 
     /** Listens and begins to work; returns the address in use. */
     InetSocketAddress start() throws IOException {
+        if (admin != null) {
+            doorAt = admin.listen(config.admin());
+        }
         InetSocketAddress at = clients.listen(config.listen());
         loop.execute(() -> {
+            if (admin != null) {
+                publish();
+                loop.scheduleWithFixedDelay(this::publish, PUBLISH_MS, PUBLISH_MS, TimeUnit.MILLISECONDS);
+            }
             listed(Policy.ListKind.PERSISTED, config.known());
             discovery.start();
             peers.start(log);
@@ -110,6 +154,11 @@
         return at;
     }
 
+    /** Where operators reach it; null where they have no door. */
+    InetSocketAddress door() {
+        return doorAt;
+    }
+
     // Only the address of discovery may change while it runs; all else takes effect at the next start.
     private void reload(Map<String, String> environment) {
         try {
@@ -142,6 +191,7 @@
     private void readyIfSo() {
         if (hasList && rehearsed) {
             clients.ready();
+            publish();
         }
     }
 
@@ -149,6 +199,7 @@
     void stop() {
         loop.execute(() -> {
             clients.stopping();
+            publish();
         });
         loop.schedule(() -> {
             clients.close();
@@ -158,6 +209,9 @@
         await();
         log.accept("stopped: " + dispatcher.summary() + "; " + events);
         group.shutdownGracefully(0, 1, TimeUnit.SECONDS);
+        if (admin != null) {
+            admin.close();
+        }
     }
 
     private void await() {
--- a/src/main/java/junctionhead/net/Rehearsal.java
+++ b/src/main/java/junctionhead/net/Rehearsal.java
@@ -47,11 +47,12 @@
         this.boot = config.boot();
         this.then = then;
         Policy policy = new Balance(boot.settings(), config.seed());
+        Metrics metrics = new Metrics(boot.classes());
         Events quiet = new Events(line -> { }, System::nanoTime);
-        dispatcher = new Dispatcher(loop, boot, policy, line -> { }, quiet);
+        dispatcher = new Dispatcher(loop, boot, policy, line -> { }, quiet, metrics);
         Descriptors descriptors = new Descriptors(config.sockets());
-        back = new Upstreams(loop, boot, descriptors, dispatcher::now, quiet);
-        front = new Upstreams(loop, boot, descriptors, dispatcher::now, quiet);
+        back = new Upstreams(loop, boot, descriptors, dispatcher::now, quiet, metrics);
+        front = new Upstreams(loop, boot, descriptors, dispatcher::now, quiet, metrics);
         dispatcher.attach(back, null, null);
     }
 
--- a/src/main/java/junctionhead/net/Upstreams.java
+++ b/src/main/java/junctionhead/net/Upstreams.java
@@ -68,19 +68,22 @@
     private final Descriptors descriptors;
     private final LongSupplier clock;
     private final Events events;
+    private final Metrics metrics;
     private final Bootstrap bootstrap;
     private final long idleMost;
     private final Map<String, Upstream> upstreams = new HashMap<>();
+    private final Set<String> inList = new HashSet<>();
     private Future<?> sweep;
     private int open;
 
     Upstreams(EventLoop loop, SettingsReader.Boot boot, Descriptors descriptors,
-            LongSupplier clock, Events events) {
+            LongSupplier clock, Events events, Metrics metrics) {
         this.loop = loop;
         this.boot = boot;
         this.descriptors = descriptors;
         this.clock = clock;
         this.events = events;
+        this.metrics = metrics;
         this.idleMost = boot.idleClose() > 0 ? (long) (boot.idleClose() * IDLE_SHARE) : Long.MAX_VALUE;
         this.bootstrap = new Bootstrap().group(loop).channel(NioSocketChannel.class)
             .option(ChannelOption.TCP_NODELAY, true)
@@ -104,10 +107,23 @@
 
     // ---------------------------------------------------------------- the list
 
+    /** How many the list holds, those that finish their work included. */
+    int inList() {
+        return inList.size();
+    }
+
     void listed(Targets targets, long now) {
         Set<String> named = new HashSet<>();
+        if (targets.all()) {
+            inList.clear();
+        }
         for (Targets.Target t : targets.list()) {
             named.add(t.server().id());
+            if (t.server().state() == Policy.State.GONE) {
+                inList.remove(t.server().id());
+            } else {
+                inList.add(t.server().id());
+            }
             Upstream u = upstreams.computeIfAbsent(t.server().id(), Upstream::new);
             if (t.endpoint() != null && !t.endpoint().equals(u.endpoint)) {
                 closeIdle(u);
@@ -294,6 +310,10 @@
             return mayHaveRun;
         }
 
+        private boolean isProbe() {
+            return waitMillis == 0;
+        }
+
         private void end(Outcome outcome, FullHttpResponse answer, Policy.Load load) {
             if (timer != null) {
                 timer.cancel(false);
@@ -350,6 +370,9 @@
             begun = true;
             written = false;
             channel.writeAndFlush(next.message(upstream.endpoint)).addListener(done -> {
+                if (done.isSuccess() && !next.isProbe()) {
+                    metrics.sent();
+                }
                 if (call == next) {
                     written = done.isSuccess();
                     if (!written) {
@@ -430,7 +453,7 @@
                 close();
             }
             String report = answer.headers().get("Srv-Load");
-            if (report == null && answered.waitMillis == 0) {
+            if (report == null && answered.isProbe()) {
                 report = answer.content().toString(StandardCharsets.UTF_8);     // of a probe
             }
             answered.end(classify(answer), answer, LoadReport.parse(report));
--- a/src/test/java/junctionhead/net/Nodes.java
+++ b/src/test/java/junctionhead/net/Nodes.java
@@ -17,6 +17,7 @@
             + upstream.address() + "\",\"state\":\"in_service\",\"boot_ms\":0}]}";
         return new Node(Config.of(Map.of(), Map.of("name", "n1", "listen", "127.0.0.1:0", "discovery",
             "127.0.0.1:9", "seed", "8c1f30d27a5be964", "limits", Map.of("sockets", sockets), "settings",
-            settings, "known", JSON.std.mapFrom(known))), (s, seed) -> module, false, log);
+            settings, "known", JSON.std.mapFrom(known), "admin", "127.0.0.1:0")), (s, seed) -> module, false,
+            log);
     }
 }
