Take over an inherited listening socket while the old process serves

Design: System.inheritedChannel gives descriptor 0 to NioServerSocketChannel; accepting begins with readiness. On SIGTERM the old process stops reading the socket and does not close it. The rehearsal goes through Netty's channels within the process where the socket is shared. The peer address is bound again every 0.1 s until the old process has let it go.

Not taken: SO_REUSEPORT beside the old one (connections in its queue are reset when it ends), closing the socket on SIGTERM (the JDK then points descriptors 0 to 2 at /dev/null, and the log is lost), a temporary listener for the rehearsal (the balancer is to listen on its address only), handing state over in $TMPDIR (nothing measured asks for it).

Its log said "can't listen on ...: Address already in use": Node.start bound the address that the platform holds; nothing else was reached.

--- a/src/main/java/junctionhead/net/ClientServer.java
+++ b/src/main/java/junctionhead/net/ClientServer.java
@@ -13,6 +13,8 @@
 import io.netty.channel.ChannelPipeline;
 import io.netty.channel.EventLoop;
 import io.netty.channel.SimpleChannelInboundHandler;
+import io.netty.channel.local.LocalAddress;
+import io.netty.channel.local.LocalServerChannel;
 import io.netty.channel.socket.nio.NioServerSocketChannel;
 import io.netty.handler.codec.http.DefaultFullHttpResponse;
 import io.netty.handler.codec.http.DefaultHttpHeaders;
@@ -32,6 +34,7 @@
 import io.netty.util.ReferenceCountUtil;
 import java.io.IOException;
 import java.net.InetSocketAddress;
+import java.nio.channels.ServerSocketChannel;
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayDeque;
 import java.util.LinkedHashSet;
@@ -75,8 +78,10 @@
     private boolean ready;
     private boolean stopping;
     private boolean draining;                       // told by operators, who may take it back
+    private boolean accepting;
     private Future<?> emptying;                     // the next look at connections that a drain leaves
     private Rehearsal rehearsal;                    // while it is on
+    private Channel inside;                         // where a rehearsal reaches this node, or null
 
     ClientServer(EventLoop loop, SettingsReader.Boot boot, Dispatcher dispatcher, Descriptors descriptors,
             BooleanSupplier shedIdleUpstream, Events events) {
@@ -90,9 +95,19 @@
 
     /** Listens; called from another thread than the loop's, and returns the address in use. */
     InetSocketAddress listen(InetSocketAddress at) throws IOException {
-        try {
-            ChannelFuture binding = new ServerBootstrap().group(loop, loop)
-                .channel(NioServerSocketChannel.class)
+        accepting = true;
+        return started(bootstrap(new NioServerSocketChannel()).option(ChannelOption.SO_BACKLOG, BACKLOG)
+            .option(ChannelOption.SO_REUSEADDR, true).bind(at));
+    }
+
+    /** Takes over a socket that listens already, as others may; accepts nothing until it is ready. */
+    InetSocketAddress listen(ServerSocketChannel inherited) throws IOException {
+        return started(bootstrap(new NioServerSocketChannel(inherited))
+            .option(ChannelOption.AUTO_READ, false).register());
+    }
+
+    private ServerBootstrap bootstrap(NioServerSocketChannel channel) {
+        return new ServerBootstrap().group(loop, loop).channelFactory(() -> channel)
                 // Known before it listens: on a slow machine a connection came in before bind had returned
                 // to the starting thread, found no listener, and was dropped unanswered.
                 .handler(new ChannelInitializer<Channel>() {
@@ -101,21 +116,27 @@
                         listener = channel;
                     }
                 })
-                .option(ChannelOption.SO_BACKLOG, BACKLOG).option(ChannelOption.SO_REUSEADDR, true)
-                .childOption(ChannelOption.TCP_NODELAY, true)
-                .childHandler(new ChannelInitializer<Channel>() {
-                    @Override
-                    protected void initChannel(Channel channel) {
-                        Client client = new Client(channel);
-                        channel.pipeline().addLast(client.new Arrivals(), client.decoder,
-                            new HttpResponseEncoder(), client.new Gate(), client.new Bodies(), client);
-                        client.opened();
-                    }
-                }).bind(at);
+                .childOption(ChannelOption.TCP_NODELAY, true).childHandler(newClients());
+    }
+
+    private ChannelInitializer<Channel> newClients() {
+        return new ChannelInitializer<>() {
+            @Override
+            protected void initChannel(Channel channel) {
+                Client client = new Client(channel);
+                channel.pipeline().addLast(client.new Arrivals(), client.decoder,
+                    new HttpResponseEncoder(), client.new Gate(), client.new Bodies(), client);
+                client.opened();
+            }
+        };
+    }
+
+    private static InetSocketAddress started(ChannelFuture starting) throws IOException {
+        try {
             if (Thread.interrupted()) {
                 throw new InterruptedException();   // sync() looks only while the bind is still under way
             }
-            return (InetSocketAddress) binding.sync().channel().localAddress();
+            return (InetSocketAddress) starting.sync().channel().localAddress();
         } catch (InterruptedException e) {
             Thread.currentThread().interrupt();
             throw new IOException("interrupted");
@@ -134,21 +155,44 @@
 
     void ready() {
         ready = true;
+        if (!accepting && !stopping) {
+            accepting = true;
+            makeRoom();
+        }
     }
 
     /** Serves a rehearsal's requests as well; null when it is over. */
     void rehearse(Rehearsal with) {
         rehearsal = with;
+        if (with == null && inside != null) {
+            inside.close();
+        }
+    }
+
+    /** Takes connections within this process, for a rehearsal; {@code then} runs when it does. */
+    void listenInside(LocalAddress at, Runnable then) {
+        ChannelFuture binding = new ServerBootstrap().group(loop, loop).channel(LocalServerChannel.class)
+            .childHandler(newClients()).bind(at);
+        inside = binding.channel();
+        binding.addListener(bound -> then.run());
     }
 
-    /** From here on answers end their connections; new ones are still taken. */
-    void stopping() {
+    /** From here on answers end their connections; new ones are still taken, unless another process does. */
+    void stopping(boolean othersAccept) {
         stopping = true;
+        if (othersAccept) {
+            accepting = false;
+            // Not closed: the platform's socket is descriptor 0, and to close it would end the log as well.
+            listener.config().setAutoRead(false);
+        }
     }
 
     /** Takes no more connections and drops those that hold no request. */
     void close() {
-        listener.close();
+        if (accepting) {
+            accepting = false;
+            listener.close();
+        }
         resting().forEach(c -> c.channel.close());
     }
 
@@ -192,7 +236,7 @@
             idle.iterator().next().drop("at rest, and no room");
         }
         boolean room = !descriptors.crowded(open);
-        listener.config().setAutoRead(room);
+        listener.config().setAutoRead(room && accepting);
         if (!room && again == null) {
             again = loop.schedule(() -> {           // a newcomer's time may be over without any event
                 again = null;
--- a/src/main/java/junctionhead/net/Config.java
+++ b/src/main/java/junctionhead/net/Config.java
@@ -17,10 +17,10 @@
 
 /**
  * What a balancer is told at its start, by its environment and its configuration file. {@code admin} is null
- * where operators have no door.
+ * where operators have no door; {@code inherited}: the clients' listening socket came as descriptor 0.
  */
 record Config(String name, InetSocketAddress listen, InetSocketAddress discovery, long seed, int sockets,
-        Targets known, SettingsReader.Boot boot, Peers peers, InetSocketAddress admin) {
+        Targets known, SettingsReader.Boot boot, Peers peers, InetSocketAddress admin, boolean inherited) {
     private static final Path LIMITS = Path.of("/proc/self/limits");
     private static final int SOCKETS = 1024;        // assumed where neither file nor system tells
 
@@ -68,6 +68,10 @@
         InetSocketAddress discovery =
             address("discovery", told(environment, "ROUTER_DISCOVERY", json, "discovery"));
         String door = said(environment, "ROUTER_ADMIN", json, "admin");
+        String accept = said(environment, "ROUTER_ACCEPT_FD", json, "accept_fd");
+        if (accept != null && !accept.strip().equals("0")) {
+            throw new Bad("ROUTER_ACCEPT_FD: only descriptor 0 can be taken over, not '" + accept + "'");
+        }
         Object settings = json.get("settings");
         if (!(settings instanceof Map)) {
             throw new Bad("the configuration has no settings");
@@ -90,7 +94,7 @@
         int most = Math.min(told, descriptors());
         return new Config(name, listen, discovery, seed(json.get("seed")),
             most == Integer.MAX_VALUE ? SOCKETS : most, known, boot, peers(json),
-            door == null ? null : address("admin", door));
+            door == null ? null : address("admin", door), accept != null);
     }
 
     private static Peers peers(Map<String, Object> json) {
--- a/src/main/java/junctionhead/net/Node.java
+++ b/src/main/java/junctionhead/net/Node.java
@@ -1,9 +1,11 @@
 package junctionhead.net;
 
 import io.netty.channel.EventLoop;
+import io.netty.channel.local.LocalAddress;
 import io.netty.channel.nio.NioEventLoopGroup;
 import java.io.IOException;
 import java.net.InetSocketAddress;
+import java.nio.channels.ServerSocketChannel;
 import java.util.Map;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
@@ -35,6 +37,7 @@
     private final AdminServer admin;                // null where operators have no door
     private final CountDownLatch stopped = new CountDownLatch(1);
     private InetSocketAddress doorAt;
+    private volatile boolean shared;                // the listening socket, with other processes
     private boolean hasList;
     private boolean rehearsed;
     private volatile Stats stats = Stats.NONE;      // as last published: all that the door's thread reads
@@ -125,10 +128,17 @@
 
     /** Listens and begins to work; returns the address in use. */
     InetSocketAddress start() throws IOException {
+        return start(config.inherited() ? inherited() : null);
+    }
+
+    /** The same; {@code inherited} listens already, as other processes may at it, or is null. */
+    InetSocketAddress start(ServerSocketChannel inherited) throws IOException {
+        shared = inherited != null;
         if (admin != null) {
             doorAt = admin.listen(config.admin());
         }
-        InetSocketAddress at = clients.listen(config.listen());
+        InetSocketAddress at =
+            inherited == null ? clients.listen(config.listen()) : clients.listen(inherited);
         loop.execute(() -> {
             if (admin != null) {
                 publish();
@@ -142,18 +152,35 @@
                     + ", " + upstreams),
                 COUNTERS_S, COUNTERS_S, TimeUnit.SECONDS);
             if (!rehearsed) {
-                Rehearsal rehearsal = new Rehearsal(loop, config, () -> {
-                    rehearsed = true;
-                    clients.rehearse(null);
-                    readyIfSo();
-                });
-                clients.rehearse(rehearsal);
-                rehearsal.start(at);
+                rehearse(at);
             }
         });
         return at;
     }
 
+    // At an inherited socket the process that this one takes over from would answer.
+    private void rehearse(InetSocketAddress at) {
+        LocalAddress inside = shared ? new LocalAddress("rehearsal") : null;
+        Rehearsal rehearsal = new Rehearsal(loop, config, inside, () -> {
+            rehearsed = true;
+            clients.rehearse(null);
+            readyIfSo();
+        });
+        clients.rehearse(rehearsal);
+        if (inside == null) {
+            rehearsal.start(at);
+        } else {
+            clients.listenInside(inside, () -> rehearsal.start(at));
+        }
+    }
+
+    private static ServerSocketChannel inherited() throws IOException {
+        if (System.inheritedChannel() instanceof ServerSocketChannel socket) {
+            return socket;
+        }
+        throw new IOException("descriptor 0 is no listening socket");
+    }
+
     /** Where operators reach it; null where they have no door. */
     InetSocketAddress door() {
         return doorAt;
@@ -198,8 +225,11 @@
     /** Ends in order, as after SIGTERM, and returns when all that was taken has been answered. */
     void stop() {
         loop.execute(() -> {
-            clients.stopping();
+            clients.stopping(shared);
             publish();
+            if (shared) {
+                peers.close();                      // the process that takes over wants the address
+            }
         });
         loop.schedule(() -> {
             clients.close();
--- a/src/main/java/junctionhead/net/PeerLink.java
+++ b/src/main/java/junctionhead/net/PeerLink.java
@@ -14,6 +14,7 @@
 import io.netty.channel.socket.nio.NioDatagramChannel;
 import io.netty.util.concurrent.Future;
 import java.net.InetSocketAddress;
+import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
 
 /**
@@ -22,6 +23,7 @@
  */
 final class PeerLink {
     static final int MESSAGE_MOST = 256;
+    private static final long AGAIN_MS = 100;       // while a process that leaves still holds the address
 
     /** Where a peer's message goes, with the peer's number. */
     interface Listener {
@@ -33,6 +35,8 @@
     private final Listener listener;
     private final Events events;
     private Channel channel;                        // null until bound, and where there is no peer
+    private boolean told;                           // that it can't be bound
+    private boolean closed;
 
     PeerLink(EventLoop loop, Config.Peers peers, Listener listener, Events events) {
         this.loop = loop;
@@ -41,7 +45,10 @@
         this.events = events;
     }
 
-    /** Binds; a failure is told and leaves the balancer without messages: it can do without. */
+    /**
+     * Binds; a failure is told once and tried again, as the process that this one takes over from may still
+     * hold the address. A balancer can do without messages.
+     */
     Future<Void> start(Consumer<String> log) {
         if (peers.listen() == null || peers.all().isEmpty()) {
             return loop.newSucceededFuture(null);
@@ -51,10 +58,19 @@
             // One byte more than a message may have: a longer one is seen to be too long.
             .option(ChannelOption.RCVBUF_ALLOCATOR, new FixedRecvByteBufAllocator(MESSAGE_MOST + 1))
             .handler(new Arrivals()).bind(peers.listen()).addListener(bound -> {
-                if (!bound.isSuccess()) {
-                    log.accept("no messages between balancers: can't listen on " + peers.listen() + ": "
+                if (bound.isSuccess() || closed) {
+                    return;
+                }
+                if (!told) {
+                    told = true;
+                    log.accept("no messages between balancers yet: can't listen on " + peers.listen() + ": "
                         + bound.cause().getMessage());
                 }
+                loop.schedule(() -> {
+                    if (!closed) {
+                        start(log);
+                    }
+                }, AGAIN_MS, TimeUnit.MILLISECONDS);
             });
     }
 
@@ -79,6 +95,7 @@
     }
 
     void close() {
+        closed = true;
         if (channel != null) {
             channel.close();
         }
@@ -88,6 +105,9 @@
         @Override
         public void channelActive(ChannelHandlerContext context) {
             channel = context.channel();
+            if (closed) {
+                channel.close();
+            }
         }
 
         @Override
--- a/src/main/java/junctionhead/net/Rehearsal.java
+++ b/src/main/java/junctionhead/net/Rehearsal.java
@@ -1,6 +1,7 @@
 package junctionhead.net;
 
 import io.netty.channel.EventLoop;
+import io.netty.channel.local.LocalAddress;
 import io.netty.handler.codec.http.DefaultHttpHeaders;
 import io.netty.handler.codec.http.HttpHeaders;
 import io.netty.handler.codec.http.HttpMethod;
@@ -41,8 +42,11 @@
     private int hops;
     private boolean over;
 
-    /** {@code then} runs on the loop when it is over. */
-    Rehearsal(EventLoop loop, Config config, Runnable then) {
+    /**
+     * {@code then} runs on the loop when it is over. Where {@code inside} is not null the requests go through
+     * that address within this process: at the node's own another process may answer.
+     */
+    Rehearsal(EventLoop loop, Config config, LocalAddress inside, Runnable then) {
         this.loop = loop;
         this.boot = config.boot();
         this.then = then;
@@ -51,8 +55,8 @@
         Events quiet = new Events(line -> { }, System::nanoTime);
         dispatcher = new Dispatcher(loop, boot, policy, line -> { }, quiet, metrics);
         Descriptors descriptors = new Descriptors(config.sockets());
-        back = new Upstreams(loop, boot, descriptors, dispatcher::now, quiet, metrics);
-        front = new Upstreams(loop, boot, descriptors, dispatcher::now, quiet, metrics);
+        back = new Upstreams(loop, boot, descriptors, dispatcher::now, quiet, metrics, inside);
+        front = new Upstreams(loop, boot, descriptors, dispatcher::now, quiet, metrics, inside);
         dispatcher.attach(back, null, null);
     }
 
--- a/src/main/java/junctionhead/net/Upstreams.java
+++ b/src/main/java/junctionhead/net/Upstreams.java
@@ -10,6 +10,8 @@
 import io.netty.channel.ChannelOption;
 import io.netty.channel.EventLoop;
 import io.netty.channel.SimpleChannelInboundHandler;
+import io.netty.channel.local.LocalAddress;
+import io.netty.channel.local.LocalChannel;
 import io.netty.channel.socket.nio.NioSocketChannel;
 import io.netty.handler.codec.http.DefaultFullHttpRequest;
 import io.netty.handler.codec.http.EmptyHttpHeaders;
@@ -25,6 +27,7 @@
 import io.netty.util.ReferenceCountUtil;
 import java.io.IOException;
 import java.net.InetSocketAddress;
+import java.net.SocketAddress;
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayDeque;
 import java.util.HashMap;
@@ -69,6 +72,7 @@
     private final LongSupplier clock;
     private final Events events;
     private final Metrics metrics;
+    private final SocketAddress inside;             // where all upstreams are within this process, or null
     private final Bootstrap bootstrap;
     private final long idleMost;
     private final Map<String, Upstream> upstreams = new HashMap<>();
@@ -78,16 +82,27 @@
 
     Upstreams(EventLoop loop, SettingsReader.Boot boot, Descriptors descriptors,
             LongSupplier clock, Events events, Metrics metrics) {
+        this(loop, boot, descriptors, clock, events, metrics, null);
+    }
+
+    /** Where {@code inside} is not null every upstream is there, in this process. */
+    Upstreams(EventLoop loop, SettingsReader.Boot boot, Descriptors descriptors, LongSupplier clock,
+            Events events, Metrics metrics, LocalAddress inside) {
         this.loop = loop;
         this.boot = boot;
         this.descriptors = descriptors;
         this.clock = clock;
         this.events = events;
         this.metrics = metrics;
+        this.inside = inside;
         this.idleMost = boot.idleClose() > 0 ? (long) (boot.idleClose() * IDLE_SHARE) : Long.MAX_VALUE;
-        this.bootstrap = new Bootstrap().group(loop).channel(NioSocketChannel.class)
-            .option(ChannelOption.TCP_NODELAY, true)
+        this.bootstrap = new Bootstrap().group(loop)
             .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, connectMillis());
+        if (inside == null) {
+            bootstrap.channel(NioSocketChannel.class).option(ChannelOption.TCP_NODELAY, true);
+        } else {
+            bootstrap.channel(LocalChannel.class);
+        }
         if (idleMost < Long.MAX_VALUE) {
             long every = Math.max(10_000, Math.min(1_000_000, idleMost / 10));
             sweep = loop.scheduleWithFixedDelay(this::closeOld, every, every, TimeUnit.MICROSECONDS);
@@ -200,7 +215,7 @@
                 channel.pipeline().addLast(connection.new Arrivals(), connection.decoder,
                     new HttpRequestEncoder(), new HttpObjectAggregator(BODY_MOST), connection);
             }
-        }).connect(u.endpoint);
+        }).connect(inside == null ? u.endpoint : inside);
         connection.channel = connected.channel();
         connection.channel.closeFuture().addListener(closed -> connection.closed());
         connected.addListener(done -> {
--- a/src/test/java/junctionhead/net/Nodes.java
+++ b/src/test/java/junctionhead/net/Nodes.java
@@ -20,4 +20,11 @@
             settings, "known", JSON.std.mapFrom(known), "admin", "127.0.0.1:0")), (s, seed) -> module, false,
             log);
     }
+
+    /** A balancer that knows no upstream, finds no discovery, and so is never ready. */
+    static Node unready(Map<String, Object> settings, Policy module, Consumer<String> log) {
+        return new Node(Config.of(Map.of(), Map.of("name", "n1", "listen", "127.0.0.1:0", "discovery",
+            "127.0.0.1:9", "seed", "8c1f30d27a5be964", "settings", settings, "admin", "127.0.0.1:0")),
+            (s, seed) -> module, false, log);
+    }
 }
--- a/src/test/java/junctionhead/net/OperationsTest.java
+++ b/src/test/java/junctionhead/net/OperationsTest.java
@@ -1,12 +1,15 @@
 package junctionhead.net;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertNotNull;
 import static org.junit.jupiter.api.Assertions.assertNull;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import java.io.IOException;
+import java.net.InetAddress;
 import java.net.InetSocketAddress;
 import java.net.Socket;
+import java.nio.channels.ServerSocketChannel;
 import java.nio.charset.StandardCharsets;
 import java.util.List;
 import java.util.concurrent.CopyOnWriteArrayList;
@@ -15,7 +18,7 @@
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.Timeout;
 
-/** What operators do with a balancer that serves: read its figures, and empty it. */
+/** What operators do with a balancer that serves: read its figures, empty it, start its successor. */
 @Timeout(60)
 class OperationsTest {
     private static final String READY = "GET /-/ready HTTP/1.1\r\nHost: backend.local\r\n\r\n";
@@ -127,4 +130,59 @@
             assertEquals(200, client.send(READY).status());
         }
     }
+
+    /** Both hold the same listening socket; closed by one, it would be gone for both. */
+    @Test
+    void aSuccessorTakesOverTheListeningSocketAndNoConnectionIsTurnedAway() throws Exception {
+        try (ServerSocketChannel shared = ServerSocketChannel.open()) {
+            shared.bind(new InetSocketAddress(InetAddress.getLoopbackAddress(), 0), 64);
+            at = (InetSocketAddress) shared.getLocalAddress();
+            node.start(shared);
+            awaitReady(node, true);
+            NodeTest.Scripted second = new NodeTest.Scripted();
+            second.server = null;
+            Node successor = Nodes.node(upstream, second, NodeTest.settings(), 1024, log::add);
+            try (NodeTest.Client held = new NodeTest.Client(at);
+                    NodeTest.Client resting = new NodeTest.Client(at)) {
+                assertEquals(200, resting.send(READY).status());
+                held.send(NodeTest.SAFE);
+                FakeUpstream.Got got = upstream.next();
+                successor.start(shared);
+                awaitReady(successor, true);
+                Thread stop = new Thread(node::stop);
+                stop.start();
+                awaitReady(node, false);
+                assertNull(resting.answer());           // the old one has closed what it closes
+                for (int i = 0; i < 20; i++) {
+                    assertEquals(200, ready(at));       // the old one accepts nothing any more
+                }
+                assertTrue(shared.isOpen());
+                got.answer(200, "", "x");
+                assertTrue(held.answer().toLowerCase().contains("connection: close"));
+                stop.join();
+                node = null;
+            } finally {
+                successor.stop();
+            }
+        }
+    }
+
+    @Test
+    void nothingIsAcceptedFromASharedSocketBeforeThisOneIsReady() throws Exception {
+        try (ServerSocketChannel shared = ServerSocketChannel.open()) {
+            shared.bind(new InetSocketAddress(InetAddress.getLoopbackAddress(), 0), 64);
+            Node unready = Nodes.unready(NodeTest.settings(), module, log::add);
+            at = (InetSocketAddress) shared.getLocalAddress();
+            try (NodeTest.Client waiting = new NodeTest.Client(at)) {
+                unready.start(shared);
+                waiting.send(READY);
+                unready.loop().submit(() -> { }).get();
+                assertTrue(call(unready, "ready").startsWith("400 "));
+                shared.configureBlocking(false);
+                assertNotNull(shared.accept(), "still in the queue, for whoever is ready");
+            } finally {
+                unready.stop();
+            }
+        }
+    }
 }
