Relay bodies and answers past 64 KiB as they come

Design: Relay carries a body from one connection to another with backpressure both ways: a few reads a relay, 4 MB for a process, then read by read. Up to 64 KiB all stays as it was: whole, and so to be sent again. Past that a request is handed to the module while it comes in (uploading, uploaded: its time counts from its last byte); a prefix that was sent makes the next attempt NOT_SENT, an answer that has begun is OK with the latency of its first bytes, and brokeOff tells of its end. Answers of unknown length wait 0.1 s to be whole. Close-delimited answers end with their connection, and a reset is no such end. A body may come slowly (40 kB/s, no stand-still of 2.4 s); a relay ends after 10 s without a byte.

Not taken: larger whole buffers (32 MB many at a time do not fit in 144 MB), spooling to $TMPDIR (it counts as memory), choosing a server only when the body is there (needs both).

At fault: both HttpObjectAggregators, 64 KiB.

--- a/src/main/java/junctionhead/Balance.java
+++ b/src/main/java/junctionhead/Balance.java
@@ -9,6 +9,7 @@
 import java.util.List;
 import java.util.Locale;
 import java.util.Map;
+import java.util.Optional;
 import java.util.SplittableRandom;
 import java.util.TreeMap;
 import java.util.stream.DoubleStream;
@@ -254,7 +255,7 @@
             if (r.kind.permits(n.server) && mayRunOn(r, n, now) && hasColdBudget(n, now)
                     && (allFail[r.number] || n.classes[r.number].admits(now))
                     && (allLookBad && !cutOff(n) || healthy(n, r, now))) {
-                (wasTried(r, n) ? tried : fresh).add(n);
+                (r.wasSentTo(n) ? tried : fresh).add(n);
                 int counts = warmth(n, now) >= 1 ? 1 : 0;
                 met += counts;
                 warm += near && n.server.zone() != settings.zone() ? 0 : counts;
@@ -269,10 +270,6 @@
         return Math.max(0, keyCounts.getOrDefault(key, 0.0) / scale - 1) / Math.max(1, arrivals);
     }
 
-    private static boolean wasTried(Request r, Node n) {
-        return r.attempts.stream().anyMatch(a -> a.node == n);
-    }
-
     // Guards against a server that fails fast or has fallen silent: it would win every queue comparison.
     // One on trial gets one attempt at a time, and none that could not be repeated where others can be.
     private boolean healthy(Node n, Request r, long now) {
@@ -291,7 +288,7 @@
 
     private boolean stalled(Node n, long now) {
         Attempt oldest = n.oldest();
-        if (oldest == null) {
+        if (oldest == null || oldest.request.uploading) {
             return false;
         }
         double patience = SILENCE * usual[oldest.request.number] + tick;
@@ -319,7 +316,7 @@
 
     // Rule 2: a request that may have run goes again only where its class allows.
     private boolean mayRunOn(Request r, Node n, long now) {
-        Attempt first = firstThatMayHaveRun(r);
+        Attempt first = r.firstThatMayHaveRun();
         if (first == null || r.kind.effect() == Effect.SAFE) {
             return true;
         }
@@ -333,10 +330,6 @@
         };
     }
 
-    private static Attempt firstThatMayHaveRun(Request r) {
-        return r.attempts.stream().filter(a -> a.mayHaveRun).findFirst().orElse(null);
-    }
-
     // Rule 4: a cold server gets its part of what warm ones of like weight take, from nothing on.
     private boolean hasColdBudget(Node n, long now) {
         double part = warmth(n, now);
@@ -571,7 +564,7 @@
 
     private void finish(Request r, long now, Actions out) {
         r.closed = true;
-        boolean harmless = firstThatMayHaveRun(r) == null || r.kind.effect() == Effect.SAFE
+        boolean harmless = r.firstThatMayHaveRun() == null || r.kind.effect() == Effect.SAFE
             || r.kind.effect() == Effect.KEYED && r.kind.scope() == Scope.ALL;
         if (harmless) {
             out.refuse(r.id, Math.min((long) FORGET, settings.limits().retryAfterMax()));    // strain lasts
@@ -660,19 +653,31 @@
             return;
         }
         List<Node> others = candidates(r, now);
-        others.removeIf(n -> wasTried(r, n));
+        others.removeIf(n -> r.wasSentTo(n));
         if (!others.isEmpty()) {
             retryBudget--;
             send(r, draw(others, now), now, out);
         }
     }
 
+    @Override
+    public void uploading(long now, String id) {
+        Optional.ofNullable(open.get(id)).ifPresent(r -> r.uploading = true);
+    }
+
+    @Override
+    public void uploaded(long now, String id, long timeLeft, Actions out) {
+        Optional.ofNullable(open.get(id)).ifPresent(r -> r.starts(now, timeLeft));
+    }
+
+    @Override
+    public void brokeOff(long now, String server, Actions out) {
+        Optional.ofNullable(nodes.get(server)).ifPresent(n -> failed(n, 1, (long) shortestUsual, now, out));
+    }
+
     @Override
     public void streamStarted(long now, String id, int attempt, Actions out) {
-        Request r = open.get(id);
-        if (r != null) {
-            r.streaming = true;
-        }
+        Optional.ofNullable(open.get(id)).ifPresent(r -> r.streaming = true);
     }
 
     @Override
--- a/src/main/java/junctionhead/Books.java
+++ b/src/main/java/junctionhead/Books.java
@@ -60,7 +60,7 @@
         final Node node;
         final Server server;                            // as listed at the send: its zone and cell
         final Request request;
-        final long at;
+        long at;
         final Health health;                            // of its server, for its class
         boolean out = true;
         boolean mayHaveRun = true;                      // until its outcome proves otherwise
@@ -87,9 +87,10 @@
         final int number;
         final RequestClass kind;
         final long key;
-        final long arrived;
-        final long deadline;
-        final long aimAt;
+        long arrived;
+        long deadline;
+        long aimAt;
+        boolean uploading;                              // still coming in
         double size = 1;                                // usual latencies that its hint promises
         final boolean last;                             // over its tenant's share, or late already
         final List<Attempt> attempts = new ArrayList<>(2);
@@ -110,5 +111,23 @@
             this.aimAt = Math.min(aimAt, deadline);
             this.last = overShare || aimAt <= arrived;
         }
+
+        /** The earliest attempt that may have run, or null. */
+        Attempt firstThatMayHaveRun() {
+            return attempts.stream().filter(a -> a.mayHaveRun).findFirst().orElse(null);
+        }
+
+        boolean wasSentTo(Node n) {
+            return attempts.stream().anyMatch(a -> a.node == n);
+        }
+
+        /** Its time begins only now. */
+        void starts(long now, long timeLeft) {
+            aimAt += now - arrived;
+            arrived = now;
+            deadline = now + timeLeft;
+            uploading = false;
+            attempts.forEach(a -> a.at = now);
+        }
     }
 }
--- a/src/main/java/junctionhead/Policy.java
+++ b/src/main/java/junctionhead/Policy.java
@@ -199,6 +199,15 @@
     void outcome(long now, String request, int attempt, Outcome outcome, long latency, boolean closed,
             Load load, Actions out);
 
+    /** The request that has just been handed over is still coming in: its time has not begun. */
+    default void uploading(long now, String request) { }
+
+    /** All of such a request has come: {@code timeLeft}, and that of its attempt, count from here on. */
+    default void uploaded(long now, String request, long timeLeft, Actions out) { }
+
+    /** The server broke off an answer after its {@link Outcome#OK}, when its client had got a part of it. */
+    default void brokeOff(long now, String server, Actions out) { }
+
     /** A streamed answer has begun: the attempt belongs to the client, its time-outs no longer hold. */
     void streamStarted(long now, String request, int attempt, Actions out);
 
--- a/src/main/java/junctionhead/net/ClientServer.java
+++ b/src/main/java/junctionhead/net/ClientServer.java
@@ -4,33 +4,41 @@
 import io.netty.buffer.ByteBuf;
 import io.netty.buffer.ByteBufUtil;
 import io.netty.buffer.Unpooled;
+import io.netty.channel.AdaptiveRecvByteBufAllocator;
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelFuture;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInboundHandlerAdapter;
 import io.netty.channel.ChannelInitializer;
 import io.netty.channel.ChannelOption;
-import io.netty.channel.ChannelPipeline;
 import io.netty.channel.EventLoop;
 import io.netty.channel.SimpleChannelInboundHandler;
 import io.netty.channel.local.LocalAddress;
 import io.netty.channel.local.LocalServerChannel;
+import io.netty.channel.socket.DuplexChannel;
+import io.netty.channel.socket.SocketChannel;
 import io.netty.channel.socket.nio.NioServerSocketChannel;
+import io.netty.handler.codec.DecoderResult;
+import io.netty.handler.codec.http.DefaultFullHttpRequest;
 import io.netty.handler.codec.http.DefaultFullHttpResponse;
 import io.netty.handler.codec.http.DefaultHttpHeaders;
+import io.netty.handler.codec.http.DefaultHttpResponse;
+import io.netty.handler.codec.http.EmptyHttpHeaders;
 import io.netty.handler.codec.http.FullHttpRequest;
 import io.netty.handler.codec.http.FullHttpResponse;
+import io.netty.handler.codec.http.HttpContent;
 import io.netty.handler.codec.http.HttpHeaderNames;
 import io.netty.handler.codec.http.HttpHeaderValues;
 import io.netty.handler.codec.http.HttpHeaders;
 import io.netty.handler.codec.http.HttpMethod;
-import io.netty.handler.codec.http.HttpMessage;
-import io.netty.handler.codec.http.HttpObjectAggregator;
+import io.netty.handler.codec.http.HttpObject;
 import io.netty.handler.codec.http.HttpRequest;
+import io.netty.handler.codec.http.HttpResponse;
 import io.netty.handler.codec.http.HttpResponseEncoder;
 import io.netty.handler.codec.http.HttpResponseStatus;
 import io.netty.handler.codec.http.HttpUtil;
 import io.netty.handler.codec.http.HttpVersion;
+import io.netty.handler.codec.http.LastHttpContent;
 import io.netty.util.ReferenceCountUtil;
 import java.io.IOException;
 import java.net.InetSocketAddress;
@@ -45,6 +53,7 @@
 import java.util.concurrent.Future;
 import java.util.concurrent.TimeUnit;
 import java.util.function.BooleanSupplier;
+import java.util.function.Consumer;
 import java.util.stream.Stream;
 import junctionhead.Policy;
 import junctionhead.SettingsReader;
@@ -54,8 +63,15 @@
     static final String DEADLINE = "Req-Deadline-Ms";
     private static final int BACKLOG = 1024;
     private static final int PIPELINED_MOST = 16;   // requests that a client may send ahead on a connection
-    private static final long REQUEST_MS = 2_200;   // for a first request, or one that has begun, to be whole
-    private static final long ANSWER_MS = 2_200;    // for an answer to be taken in
+    static final int WHOLE_MOST = Relay.AHEAD;      // of a body that is handed over only when it is whole
+    static final int BODY_MOST = 32 * 1024 * 1024;
+    private static final int READ_MOST = 32 * 1024; // bytes at a time
+    private static final int SEND_MOST = 128 * 1024; // bytes of a long answer that the system holds
+    // For a first request, or one that has begun, to be whole; each byte of a body gives it a little more.
+    private static final long REQUEST_NS = 2_400_000_000L;
+    private static final long BYTE_NS = 1_000_000_000L / 40_000;
+    private static final long ANSWER_MS = 2_200;    // for a short answer to be taken in
+    private static final long LINGER_MS = 4_000;    // for a client to take an answer in while it still sends
     private static final long DRAIN_FIRST_MS = 600; // after a drain's begin, until connections at rest go
     private static final long DRAIN_EVERY_MS = 400;
     private static final long GREETING_NS = 300_000_000; // after it a silent newcomer may have to make room
@@ -69,6 +85,7 @@
     private final Descriptors descriptors;
     private final BooleanSupplier shedIdleUpstream;
     private final Events events;
+    private final Relay.Budget budget;
     private final Set<Client> idle = new LinkedHashSet<>(); // the longest idle first
     private final Set<Client> newcomers = new LinkedHashSet<>(); // no proper request yet, the oldest first
     private Channel listener;
@@ -84,13 +101,14 @@
     private Channel inside;                         // where a rehearsal reaches this node, or null
 
     ClientServer(EventLoop loop, SettingsReader.Boot boot, Dispatcher dispatcher, Descriptors descriptors,
-            BooleanSupplier shedIdleUpstream, Events events) {
+            BooleanSupplier shedIdleUpstream, Events events, Relay.Budget budget) {
         this.loop = loop;
         this.boot = boot;
         this.dispatcher = dispatcher;
         this.descriptors = descriptors;
         this.shedIdleUpstream = shedIdleUpstream;
         this.events = events;
+        this.budget = budget;
     }
 
     /** Listens; called from another thread than the loop's, and returns the address in use. */
@@ -116,6 +134,8 @@
                         listener = channel;
                     }
                 })
+                .childOption(ChannelOption.RCVBUF_ALLOCATOR,
+                    new AdaptiveRecvByteBufAllocator(64, 2048, READ_MOST))
                 .childOption(ChannelOption.TCP_NODELAY, true).childHandler(newClients());
     }
 
@@ -125,7 +145,7 @@
             protected void initChannel(Channel channel) {
                 Client client = new Client(channel);
                 channel.pipeline().addLast(client.new Arrivals(), client.decoder,
-                    new HttpResponseEncoder(), client.new Gate(), client.new Bodies(), client);
+                    new HttpResponseEncoder(), client.new Gate(), client);
                 client.opened();
             }
         };
@@ -248,14 +268,25 @@
     }
 
     /** One connection of a client. */
-    private final class Client extends SimpleChannelInboundHandler<FullHttpRequest> {
+    private final class Client extends SimpleChannelInboundHandler<HttpObject> {
         private final Channel channel;
         private final ArrayDeque<FullHttpRequest> ahead = new ArrayDeque<>();
-        private Runnable gone;                      // set while the module owes an answer here
+        private Dispatcher.Taken taken;             // while the module owes an answer here
+        private HttpRequest head;                   // of the request that comes, null between requests
+        private ByteBuf gathered;                   // of its body, until it is whole or too long for that
+        private long bytes;                         // of its body that have come
+        private Relay upload;                       // the way that a long body goes, until it is whole
+        private boolean uploading;                  // that request has been handed over, and still comes
+        private boolean behind;                     // all of it has come while another one is busy
+        private Relay download;                     // the way that a long answer comes
+        private HttpVersion version = HttpVersion.HTTP_1_1; // of the request that is answered
         private boolean receiving;                  // a part of a request has come
         private boolean busy;                       // from a whole request until its answer is written
         private boolean closing;                    // takes nothing more: what still comes is dropped
         private Future<?> patience;                 // while a request is awaited that should come soon
+        private long awaitedSince;
+        private long awaitedBytes;                  // of its body, at that time
+        private long heardAt;
         private final Framing.Requests decoder = new Framing.Requests();
         private final long since = System.nanoTime();
         private final long number = ++clients;
@@ -279,8 +310,12 @@
                 requestCame();
                 ahead.forEach(FullHttpRequest::release);
                 ahead.clear();
-                if (gone != null) {
-                    gone.run();
+                forget();
+                if (upload != null) {
+                    upload.cut();
+                }
+                if (taken != null) {
+                    taken.gone();
                 }
                 if (!stopping) {
                     makeRoom();
@@ -290,16 +325,29 @@
         }
 
         // Guards against peers that connect and send nothing, or never end what they begin: each would keep
-        // its descriptor until no server could be reached. What comes slowly does not prolong the time.
+        // its descriptor until no server could be reached. A head that comes slowly does not prolong the
+        // time; a body does that comes fast enough and does not stand still.
         private void awaitRequest() {
             if (patience == null && channel.isActive()) {
-                patience = loop.schedule(() -> {
-                    if (receiving) {
-                        drop("unfinished request");
-                    } else {
-                        drop("no request");
-                    }
-                }, REQUEST_MS, TimeUnit.MILLISECONDS);
+                awaitedSince = System.nanoTime();
+                awaitedBytes = bytes;
+                heardAt = awaitedSince;
+                patience = loop.schedule(this::hurry, REQUEST_NS, TimeUnit.NANOSECONDS);
+            }
+        }
+
+        private void hurry() {
+            patience = null;
+            if (upload != null && upload.holdsBack()) {
+                awaitRequest();                     // the client waits for this balancer
+                return;
+            }
+            long earned = Math.min(awaitedSince + (bytes - awaitedBytes) * BYTE_NS, heardAt);
+            long left = earned + REQUEST_NS - System.nanoTime();
+            if (left > 0) {
+                patience = loop.schedule(this::hurry, left, TimeUnit.NANOSECONDS);
+            } else {
+                drop(receiving ? "unfinished request" : "no request");
             }
         }
 
@@ -322,7 +370,163 @@
         }
 
         @Override
-        protected void channelRead0(ChannelHandlerContext context, FullHttpRequest request) {
+        protected void channelRead0(ChannelHandlerContext context, HttpObject part) {
+            if (part instanceof HttpRequest start) {
+                begin(start);
+            }
+            if (part instanceof HttpContent content && head != null) {
+                gather(content);
+            }
+        }
+
+        private void begin(HttpRequest start) {
+            head = start;
+            bytes = 0;
+            awaitedBytes = 0;
+            heardAt = System.nanoTime();
+            if (!start.decoderResult().isSuccess()) {
+                whole();                            // as far as it goes: nothing can follow it
+            } else if (HttpUtil.getContentLength(start, 0L) > BODY_MOST) {
+                head = null;
+                turnAway(start, HttpResponseStatus.REQUEST_ENTITY_TOO_LARGE);
+            } else if (!busy && HttpUtil.is100ContinueExpected(start)) {
+                channel.writeAndFlush(new DefaultFullHttpResponse(HttpVersion.HTTP_1_1,
+                    HttpResponseStatus.CONTINUE, Unpooled.EMPTY_BUFFER));
+            }
+        }
+
+        private void gather(HttpContent content) {
+            boolean last = content instanceof LastHttpContent;
+            if (content.content().isReadable()) {
+                bytes += content.content().readableBytes();
+                heardAt = System.nanoTime();
+            }
+            if (!content.decoderResult().isSuccess()) {
+                broken(content.decoderResult());
+                return;
+            }
+            if (bytes > BODY_MOST) {
+                HttpRequest request = head;
+                breakOff();
+                turnAway(request, HttpResponseStatus.REQUEST_ENTITY_TOO_LARGE);
+                return;
+            }
+            if (upload == null && bytes > WHOLE_MOST) {
+                upload = new Relay(channel, budget, () -> { });
+                if (gathered != null) {
+                    upload.add(gathered);
+                    gathered = null;
+                }
+                if (!busy) {
+                    upload();
+                }
+            }
+            if (upload != null) {
+                upload.add(content.content().retain());
+            } else if (content.content().isReadable()) {
+                if (gathered == null) {
+                    gathered = channel.alloc().heapBuffer(Math.min(WHOLE_MOST, content.content().capacity()));
+                }
+                gathered.writeBytes(content.content());
+            }
+            if (last && upload != null) {
+                uploaded();
+            } else if (last) {
+                whole();
+            }
+        }
+
+        // What has come of a request, without the rest of it.
+        private void forget() {
+            head = null;
+            if (gathered != null) {
+                gathered.release();
+                gathered = null;
+            }
+        }
+
+        private void whole() {
+            FullHttpRequest request = new DefaultFullHttpRequest(head.protocolVersion(), head.method(),
+                head.uri(), gathered == null ? Unpooled.EMPTY_BUFFER : gathered, head.headers(),
+                EmptyHttpHeaders.INSTANCE);
+            request.setDecoderResult(head.decoderResult());
+            head = null;
+            gathered = null;
+            came(request);
+            request.release();
+        }
+
+        // A body that can't be read: its request never was a whole one.
+        private void broken(DecoderResult result) {
+            if (upload == null) {
+                head.setDecoderResult(result);
+                whole();
+            } else {
+                HttpRequest request = head;
+                breakOff();
+                turnAway(request, HttpResponseStatus.BAD_REQUEST);
+            }
+        }
+
+        private void breakOff() {
+            forget();
+            if (upload != null) {
+                Relay cut = upload;
+                upload = null;
+                if (uploading) {
+                    uploading = false;
+                    busy = false;
+                    Dispatcher.Taken left = taken;
+                    taken = null;
+                    if (left != null) {
+                        left.gone();
+                    }
+                }
+                cut.cut();
+            }
+        }
+
+        // Hands a request over whose body is still coming, as a rule.
+        private void upload() {
+            uploading = !behind;
+            busy = true;
+            requests++;
+            current = head.headers().get("Req-Id");
+            String path = head.uri();
+            if (path.startsWith("/-/")) {
+                plain(HttpResponseStatus.NOT_FOUND, "not found", false);
+            } else {
+                take(head, new byte[0], upload, HttpUtil.getContentLength(head, -1L),
+                    HttpUtil.isKeepAlive(head));
+            }
+            if (behind) {
+                behind = false;
+                handedOver();
+            }
+        }
+
+        private void uploaded() {
+            receiving = false;
+            requestCame();
+            upload.end();
+            if (uploading) {
+                handedOver();
+            } else {
+                behind = true;
+                closing = true;                     // once it has been answered
+            }
+        }
+
+        private void handedOver() {
+            uploading = false;
+            upload = null;
+            head = null;
+            if (taken != null) {
+                taken.whole();
+            }
+        }
+
+        private void came(FullHttpRequest request) {
             receiving = false;
             requestCame();
             if (busy) {
@@ -358,23 +562,28 @@
                     : isReady() ? HttpResponseStatus.OK : HttpResponseStatus.SERVICE_UNAVAILABLE;
                 plain(status, !asked ? "not found" : isReady() ? "ready" : "not ready", keep);
             } else {
-                Order order;
-                try {
-                    order = order(request);
-                } catch (IllegalArgumentException e) {
-                    reject(request, e.getMessage());
-                    plain(HttpResponseStatus.BAD_REQUEST, e.getMessage(), false);
-                    return;
-                }
-                newcomers.remove(this);
-                Answer answer = new Answer(this, keep);
-                gone = () -> { };
-                Runnable leave = path.equals(Rehearsal.PATH)
-                    ? rehearsal.dispatcher().take(order.to(Rehearsal.HOP), answer)
-                    : dispatcher.take(order, answer);
-                if (!answer.given) {
-                    gone = leave;
-                }
+                take(request, ByteBufUtil.getBytes(request.content()), null,
+                    request.content().readableBytes(), keep);
+            }
+        }
+
+        private void take(HttpRequest request, byte[] body, Relay by, long length, boolean keep) {
+            Order order;
+            try {
+                order = order(request, body, by, length);
+            } catch (IllegalArgumentException e) {
+                reject(request, e.getMessage());
+                plain(HttpResponseStatus.BAD_REQUEST, e.getMessage(), false);
+                return;
+            }
+            newcomers.remove(this);
+            version = request.protocolVersion();
+            Answer answer = new Answer(this, keep);
+            Dispatcher.Taken told = request.uri().equals(Rehearsal.PATH)
+                ? rehearsal.dispatcher().take(order.to(Rehearsal.HOP), answer)
+                : dispatcher.take(order, answer);
+            if (!answer.given) {
+                taken = told;
             }
         }
 
@@ -405,10 +614,15 @@
 
         private void write(HttpResponseStatus status, ByteBuf body, String type, String header,
                 String value, boolean keep) {
-            gone = null;
+            taken = null;
             busy = true;
-            boolean stay = keep && (!ahead.isEmpty() || !stopping && !draining && !closing);
-            closing |= !keep;
+            boolean early = uploading;              // the client is still sending: it may not listen yet
+            if (early) {
+                uploading = false;
+                upload.discard();
+            }
+            boolean stay = stays(keep) && !early;
+            closing |= !keep || early;
             FullHttpResponse response = new DefaultFullHttpResponse(HttpVersion.HTTP_1_1, status, body);
             if (type != null) {
                 response.headers().set(HttpHeaderNames.CONTENT_TYPE, type);
@@ -428,22 +642,96 @@
                 if (stuck != null) {
                     stuck.cancel(false);
                 }
-                if (!stay || !done.isSuccess()) {
-                    channel.close();
-                } else if (ahead.isEmpty()) {
-                    answered();
+                if (early && done.isSuccess()) {
+                    linger();
                 } else {
-                    loop.execute(this::answered);   // not from within what is handled now
+                    written(stay && done.isSuccess());
                 }
             });
         }
 
+        private boolean stays(boolean keep) {
+            boolean more = !ahead.isEmpty() || upload != null && !uploading;
+            return keep && (more || !stopping && !draining && !closing);
+        }
+
+        private void written(boolean stay) {
+            if (!stay) {
+                channel.close();
+            } else if (ahead.isEmpty()) {
+                answered();
+            } else {
+                loop.execute(this::answered);       // not from within what is handled now
+            }
+        }
+
+        // Closed with input unread, the connection would be reset, and the answer lost with it.
+        private void linger() {
+            Future<?> end = loop.schedule(() -> channel.close(), LINGER_MS, TimeUnit.MILLISECONDS);
+            channel.closeFuture().addListener(closed -> end.cancel(false));
+            if (channel instanceof DuplexChannel duplex) {
+                duplex.shutdownOutput();
+            }
+        }
+
+        /** Passes a long answer on as it comes. */
+        private void pass(long length, String type, Relay body, boolean keep, Consumer<Boolean> over) {
+            boolean counted = length >= 0 || version.isKeepAliveDefault();
+            boolean stay = stays(keep && counted);
+            closing |= !stay;
+            HttpResponse start = new DefaultHttpResponse(HttpVersion.HTTP_1_1, HttpResponseStatus.OK);
+            if (type != null) {
+                start.headers().set(HttpHeaderNames.CONTENT_TYPE, type);
+            }
+            if (length >= 0) {
+                HttpUtil.setContentLength(start, length);
+            } else if (counted) {
+                HttpUtil.setTransferEncodingChunked(start, true);
+            }
+            if (!stay) {
+                start.headers().set(HttpHeaderNames.CONNECTION, HttpHeaderValues.CLOSE);
+            }
+            if (channel instanceof SocketChannel socket) {
+                socket.config().setSendBufferSize(SEND_MOST);   // else it moves in steps of many seconds
+            }
+            download = body;
+            channel.write(start);
+            body.to(channel, new Relay.Sink() {
+                @Override
+                public void whole() {
+                    taken = null;
+                    download = null;
+                    over.accept(true);
+                    written(stay);
+                }
+
+                @Override
+                public void cut() {
+                    download = null;
+                    over.accept(false);
+                    if (!counted && channel instanceof SocketChannel socket) {
+                        socket.config().setSoLinger(0);     // its end would look like the answer's
+                    }
+                    channel.close();
+                }
+            });
+        }
+
+        @Override
+        public void channelWritabilityChanged(ChannelHandlerContext context) {
+            if (download != null) {
+                download.flow();
+            }
+        }
+
         private void answered() {
             busy = false;
             FullHttpRequest next = ahead.poll();
             if (next != null) {
                 handle(next);
                 next.release();
+            } else if (upload != null) {
+                upload();
             } else if (closing || stopping || draining) {
                 channel.close();
             } else if (receiving || decoder.holdsBytes()) {
@@ -499,24 +787,6 @@
                 && !HttpUtil.is100ContinueExpected(request);
         }
 
-        /** Collects bodies. Netty's own answer to one that is too long would go on reading its connection. */
-        private final class Bodies extends HttpObjectAggregator {
-            Bodies() {
-                super(Upstreams.BODY_MOST);
-            }
-
-            @Override
-            protected void handleOversizedMessage(ChannelHandlerContext context, HttpMessage oversized) {
-                turnAway((HttpRequest) oversized, HttpResponseStatus.REQUEST_ENTITY_TOO_LARGE);
-            }
-
-            @Override
-            protected Object newContinueResponse(HttpMessage start, int most, ChannelPipeline pipeline) {
-                // One that asks whether it may send too much is told so like any other.
-                return isContentLengthInvalid(start, most) ? null
-                    : super.newContinueResponse(start, most, pipeline);
-            }
-        }
     }
 
     /** The final answer to one request; the dispatcher gives it once. */
@@ -537,6 +807,11 @@
                 answer.headers().get(HttpHeaderNames.CONTENT_TYPE), null, null, keep);
         }
 
+        @Override
+        public void serve(HttpResponse head, long length, Relay body, Consumer<Boolean> over) {
+            client.pass(length, head.headers().get(HttpHeaderNames.CONTENT_TYPE), body, keep, over);
+        }
+
         @Override
         public void refuse(long retryAfter) {
             given = true;
@@ -555,7 +830,7 @@
 
     // ---------------------------------------------------------------- reading a request
 
-    private Order order(FullHttpRequest request) {
+    private Order order(HttpRequest request, byte[] body, Relay upload, long length) {
         HttpHeaders headers = request.headers();
         if (headers.get("Req-Id", "").isEmpty()) {
             throw new IllegalArgumentException("no Req-Id");
@@ -577,9 +852,9 @@
         String path = request.uri().split("[?#]", 2)[0];
         String key = path.substring(path.lastIndexOf('/') + 1);
         int tenant = Math.max(0, boot.tenants().indexOf(headers.get("Req-Owner", "")));
-        return new Order(request.method(), request.uri(), endToEnd(headers),
-            ByteBufUtil.getBytes(request.content()), number, tenant, key.isEmpty() ? null : key, left * 1000,
-            number(headers.get("Req-Cost"), -1), "1".equals(headers.get("Req-Retry")));
+        return new Order(request.method(), request.uri(), endToEnd(headers), body, number, tenant,
+            key.isEmpty() ? null : key, left * 1000, number(headers.get("Req-Cost"), -1),
+            "1".equals(headers.get("Req-Retry")), upload, length);
     }
 
     private static long number(String text, long otherwise) {
--- a/src/main/java/junctionhead/net/Dispatcher.java
+++ b/src/main/java/junctionhead/net/Dispatcher.java
@@ -2,6 +2,7 @@
 
 import io.netty.channel.EventLoop;
 import io.netty.handler.codec.http.FullHttpResponse;
+import io.netty.handler.codec.http.HttpResponse;
 import java.util.ArrayDeque;
 import java.util.ArrayList;
 import java.util.HashMap;
@@ -30,20 +31,36 @@
         /** Served: passes the upstream's body on; the caller keeps the response. */
         void serve(FullHttpResponse answer);
 
+        /** Served, with an answer that is still coming; {@code over} hears whether it was passed on whole. */
+        void serve(HttpResponse head, long length, Relay body, Consumer<Boolean> over);
+
         void refuse(long retryAfter);
 
         void fail();
     }
 
+    /** What the client's side tells of a request that it has handed over. */
+    interface Taken {
+        /** The client has left. */
+        void gone();
+
+        /** The whole of its body has come, where it was handed over before. */
+        void whole();
+    }
+
     /** A request that has been taken, and its attempts. */
     private static final class Exchange {
         final String id;
         final Order order;
         final Reply reply;
-        final long deadline;
+        long deadline;
         final List<Attempt> attempts = new ArrayList<>(2);
         int out;
+        boolean uploading;                          // its body is still coming: its time has not begun
         boolean closed;
+        Attempt answering;                          // whose long answer is the final one, or null
+        boolean passing;                            // that answer, now
+        Relay body;                                 // the way that it goes
         Future<?> guard;
 
         Exchange(String id, Order order, Reply reply, long deadline) {
@@ -58,7 +75,8 @@
         final Exchange exchange;
         final int number;
         final String server;
-        final long at;
+        long at;
+        long wait;
         Upstreams.Call call;
         Future<?> timer;
         boolean ended;
@@ -147,21 +165,66 @@
         }
     }
 
-    /** Takes a request, for one final answer; returns what to run if the client leaves before it. */
-    Runnable take(Order order, Reply reply) {
+    /** Takes a request, for one final answer; returns whom to tell what the client does before it. */
+    Taken take(Order order, Reply reply) {
         String id = Long.toString(++taken, Character.MAX_RADIX);
         Exchange x = new Exchange(id, order, reply, now() + order.timeLeft());
         table.put(id, x);
         owed++;
-        x.guard = loop.schedule(() -> lastResort(x), Math.max(0, order.timeLeft() - GUARD),
-            TimeUnit.MICROSECONDS);
+        x.uploading = order.upload() != null;
+        guard(x);
         hand(now -> policy.request(now, id, order.requestClass(), order.tenant(), order.key(),
             Math.max(0, x.deadline - now), order.work(), order.resubmission(), this));
-        return () -> gone(x);
+        if (x.uploading) {
+            hand(now -> policy.uploading(now, id));
+        }
+        return new Taken() {
+            @Override
+            public void gone() {
+                Dispatcher.this.gone(x);
+            }
+
+            @Override
+            public void whole() {
+                uploaded(x);
+            }
+        };
+    }
+
+    private void guard(Exchange x) {
+        x.guard = loop.schedule(() -> lastResort(x), Math.max(0, x.order.timeLeft() - GUARD),
+            TimeUnit.MICROSECONDS);
+    }
+
+    // From here on its time counts, and that of its attempt.
+    private void uploaded(Exchange x) {
+        x.uploading = false;
+        if (x.closed) {
+            return;
+        }
+        long now = now();
+        x.deadline = now + x.order.timeLeft();
+        x.guard.cancel(false);
+        guard(x);
+        for (Attempt a : x.attempts) {
+            if (!a.ended) {
+                a.at = now;
+                await(a);
+            }
+        }
+        hand(at -> policy.uploaded(at, x.id, x.order.timeLeft(), this));
+    }
+
+    private void await(Attempt a) {
+        a.timer = loop.schedule(() -> giveUp(a, Policy.Outcome.TIMEOUT), a.wait, TimeUnit.MICROSECONDS);
     }
 
     private void gone(Exchange x) {
-        if (!x.closed) {
+        if (x.passing) {
+            stopPassing(x);
+            x.body.discard();
+            giveUp(x.answering, Policy.Outcome.CANCELLED);
+        } else if (!x.closed) {
             close(x);
             hand(now -> policy.clientGone(now, x.id, this));
             forget(x);
@@ -170,7 +233,9 @@
 
     // Rule 1 where the module stays silent or has thrown: the client gets a failure while it still listens.
     private void lastResort(Exchange x) {
-        if (!x.closed) {
+        if (x.uploading && x.out > 0) {
+            guard(x);                               // the client's time has not begun
+        } else if (!x.closed) {
             guarded++;
             if (Long.bitCount(guarded) == 1) {
                 log.accept("last-resort answers: " + guarded);
@@ -191,6 +256,10 @@
     private void close(Exchange x) {
         x.closed = true;
         x.guard.cancel(false);
+        settled();
+    }
+
+    private void settled() {
         owed--;
         if (owed == 0 && whenIdle != null) {
             loop.execute(whenIdle);
@@ -203,6 +272,49 @@
         }
     }
 
+    // A long answer has begun: it is the final one, and the server's work is done.
+    private void begun(Attempt a, HttpResponse head, long length, Relay body, Policy.Load load) {
+        Exchange x = a.exchange;
+        if (x.closed) {
+            body.discard();
+            return;
+        }
+        if (a.timer != null) {
+            a.timer.cancel(false);
+        }
+        x.closed = true;
+        x.guard.cancel(false);
+        x.answering = a;
+        x.passing = true;
+        x.body = body;
+        long latency = now() - a.at;
+        x.reply.serve(head, length, body, whole -> {
+            if (x.passing) {
+                if (whole) {
+                    metrics.answered(x.order.requestClass());
+                } else {
+                    metrics.errored(x.order.requestClass());
+                }
+                stopPassing(x);
+            }
+        });
+        hand(now -> policy.outcome(now, x.id, a.number, Policy.Outcome.OK, latency, true, load, this));
+    }
+
+    private void stopPassing(Exchange x) {
+        x.passing = false;
+        settled();
+    }
+
+    // What was begun can't be retried: the module hears only that the server broke it off.
+    private void passed(Attempt a, Policy.Outcome outcome) {
+        if (outcome == Policy.Outcome.RESET) {
+            events.tell(Events.Kind.ATTEMPT, a.exchange.order.id(), () -> a.number + " to " + a.server
+                + " broke off an answer that was being passed on");
+            hand(now -> policy.brokeOff(now, a.server, this));
+        }
+    }
+
     private void ended(Attempt a, Policy.Outcome outcome, FullHttpResponse answer, Policy.Load load) {
         if (a.ended) {
             return;
@@ -213,6 +325,11 @@
         }
         Exchange x = a.exchange;
         x.out--;
+        if (a == x.answering) {
+            passed(a, outcome);
+            forget(x);
+            return;
+        }
         long latency = now() - a.at;
         if (outcome == Policy.Outcome.OK && !x.closed) {
             close(x);
@@ -290,11 +407,24 @@
         x.out++;
         long left = x.deadline - GUARD - LAST_WORD - now;
         long wait = timeout == 0 ? left : Math.min(timeout, left);
-        boolean allowed = !x.closed && wait > 0 && a.number < boot.settings().limits().maxAttempts();
+        boolean allowed = !x.closed && wait > 0 && a.number < boot.settings().limits().maxAttempts()
+            && x.order.sendable();
         if (allowed) {
-            a.timer = loop.schedule(() -> giveUp(a, Policy.Outcome.TIMEOUT), wait, TimeUnit.MICROSECONDS);
-            a.call = upstreams.send(server, x.order, wait,
-                (outcome, answer, load) -> ended(a, outcome, answer, load));
+            a.wait = wait;
+            if (!x.uploading) {
+                await(a);
+            }
+            a.call = upstreams.send(server, x.order, wait, new Upstreams.Listener() {
+                @Override
+                public void ended(Policy.Outcome outcome, FullHttpResponse answer, Policy.Load load) {
+                    Dispatcher.this.ended(a, outcome, answer, load);
+                }
+
+                @Override
+                public void begun(HttpResponse head, long length, Relay body, Policy.Load load) {
+                    Dispatcher.this.begun(a, head, length, body, load);
+                }
+            });
         } else {
             ended(a, Policy.Outcome.NOT_SENT, null, null);
         }
--- a/src/main/java/junctionhead/net/Node.java
+++ b/src/main/java/junctionhead/net/Node.java
@@ -53,11 +53,12 @@
         events = new Events(log, System::nanoTime);
         metrics = new Metrics(config.boot().classes());
         dispatcher = new Dispatcher(loop, config.boot(), policy, log, events, metrics);
-        upstreams = new Upstreams(loop, config.boot(), descriptors, dispatcher::now, events, metrics);
+        Relay.Budget budget = new Relay.Budget();
+        upstreams = new Upstreams(loop, config.boot(), descriptors, dispatcher::now, events, metrics, budget);
         discovery = new Discovery(loop, config.discovery(), config.boot(), config.known().rev(),
             this::listed, log);
         clients = new ClientServer(loop, config.boot(), dispatcher, descriptors, upstreams::shedIdle,
-            events);
+            events, budget);
         peers = new PeerLink(loop, config.peers(), dispatcher::heard, events);
         dispatcher.attach(upstreams, discovery, peers);
         admin = config.admin() == null ? null : new AdminServer(new Desk());
--- a/src/main/java/junctionhead/net/Rehearsal.java
+++ b/src/main/java/junctionhead/net/Rehearsal.java
@@ -55,8 +55,9 @@
         Events quiet = new Events(line -> { }, System::nanoTime);
         dispatcher = new Dispatcher(loop, boot, policy, line -> { }, quiet, metrics);
         Descriptors descriptors = new Descriptors(config.sockets());
-        back = new Upstreams(loop, boot, descriptors, dispatcher::now, quiet, metrics, inside);
-        front = new Upstreams(loop, boot, descriptors, dispatcher::now, quiet, metrics, inside);
+        Relay.Budget budget = new Relay.Budget();
+        back = new Upstreams(loop, boot, descriptors, dispatcher::now, quiet, metrics, budget, inside);
+        front = new Upstreams(loop, boot, descriptors, dispatcher::now, quiet, metrics, budget, inside);
         dispatcher.attach(back, null, null);
     }
 
--- a/src/main/java/junctionhead/net/Upstreams.java
+++ b/src/main/java/junctionhead/net/Upstreams.java
@@ -1,7 +1,9 @@
 package junctionhead.net;
 
 import io.netty.bootstrap.Bootstrap;
+import io.netty.buffer.ByteBuf;
 import io.netty.buffer.Unpooled;
+import io.netty.channel.AdaptiveRecvByteBufAllocator;
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelFuture;
 import io.netty.channel.ChannelHandlerContext;
@@ -14,16 +16,21 @@
 import io.netty.channel.local.LocalChannel;
 import io.netty.channel.socket.nio.NioSocketChannel;
 import io.netty.handler.codec.http.DefaultFullHttpRequest;
+import io.netty.handler.codec.http.DefaultFullHttpResponse;
+import io.netty.handler.codec.http.DefaultHttpRequest;
 import io.netty.handler.codec.http.EmptyHttpHeaders;
-import io.netty.handler.codec.http.FullHttpRequest;
 import io.netty.handler.codec.http.FullHttpResponse;
+import io.netty.handler.codec.http.HttpContent;
 import io.netty.handler.codec.http.HttpHeaderNames;
 import io.netty.handler.codec.http.HttpMethod;
-import io.netty.handler.codec.http.HttpObjectAggregator;
+import io.netty.handler.codec.http.HttpObject;
+import io.netty.handler.codec.http.HttpRequest;
 import io.netty.handler.codec.http.HttpRequestEncoder;
+import io.netty.handler.codec.http.HttpResponse;
 import io.netty.handler.codec.http.HttpStatusClass;
 import io.netty.handler.codec.http.HttpUtil;
 import io.netty.handler.codec.http.HttpVersion;
+import io.netty.handler.codec.http.LastHttpContent;
 import io.netty.util.ReferenceCountUtil;
 import java.io.IOException;
 import java.net.InetSocketAddress;
@@ -44,7 +51,9 @@
 
 /** The connections to the upstreams, one request at a time on each, and what becomes of each request. */
 final class Upstreams {
-    static final int BODY_MOST = 64 * 1024;
+    private static final int WHOLE_MOST = 64 * 1024; // of an answer that is passed on only when it is whole
+    private static final int READ_MOST = 32 * 1024; // bytes at a time
+    private static final long GATHER_MS = 100;      // for an answer of unknown length to be whole
     private static final double IDLE_SHARE = 0.5;   // of the time after which upstreams close an idle one
     private static final long DRAIN_MARGIN = 50_000; // µs before the grace is over: the clock is not shared
     private static final long FORGET = 60_000_000;  // µs after its grace that a stopped upstream is kept
@@ -53,6 +62,14 @@
     /** How a request to an upstream ended; {@code answer} is null but for OK, and the caller's to release. */
     interface Listener {
         void ended(Outcome outcome, FullHttpResponse answer, Policy.Load load);
+
+        /**
+         * A long 200 answer has begun, and comes by {@code body}; {@code length} is -1 where it is not known.
+         * Its end is told by {@link #ended}, without an answer.
+         */
+        default void begun(HttpResponse head, long length, Relay body, Policy.Load load) {
+            body.discard();
+        }
     }
 
     private static final class Upstream {
@@ -72,6 +89,7 @@
     private final LongSupplier clock;
     private final Events events;
     private final Metrics metrics;
+    private final Relay.Budget budget;
     private final SocketAddress inside;             // where all upstreams are within this process, or null
     private final Bootstrap bootstrap;
     private final long idleMost;
@@ -81,22 +99,24 @@
     private int open;
 
     Upstreams(EventLoop loop, SettingsReader.Boot boot, Descriptors descriptors,
-            LongSupplier clock, Events events, Metrics metrics) {
-        this(loop, boot, descriptors, clock, events, metrics, null);
+            LongSupplier clock, Events events, Metrics metrics, Relay.Budget budget) {
+        this(loop, boot, descriptors, clock, events, metrics, budget, null);
     }
 
     /** Where {@code inside} is not null every upstream is there, in this process. */
     Upstreams(EventLoop loop, SettingsReader.Boot boot, Descriptors descriptors, LongSupplier clock,
-            Events events, Metrics metrics, LocalAddress inside) {
+            Events events, Metrics metrics, Relay.Budget budget, LocalAddress inside) {
         this.loop = loop;
         this.boot = boot;
         this.descriptors = descriptors;
         this.clock = clock;
         this.events = events;
         this.metrics = metrics;
+        this.budget = budget;
         this.inside = inside;
         this.idleMost = boot.idleClose() > 0 ? (long) (boot.idleClose() * IDLE_SHARE) : Long.MAX_VALUE;
         this.bootstrap = new Bootstrap().group(loop)
+            .option(ChannelOption.RCVBUF_ALLOCATOR, new AdaptiveRecvByteBufAllocator(64, 2048, READ_MOST))
             .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, connectMillis());
         if (inside == null) {
             bootstrap.channel(NioSocketChannel.class).option(ChannelOption.TCP_NODELAY, true);
@@ -213,7 +233,7 @@
             @Override
             protected void initChannel(Channel channel) {
                 channel.pipeline().addLast(connection.new Arrivals(), connection.decoder,
-                    new HttpRequestEncoder(), new HttpObjectAggregator(BODY_MOST), connection);
+                    new HttpRequestEncoder(), connection);
             }
         }).connect(inside == null ? u.endpoint : inside);
         connection.channel = connected.channel();
@@ -340,9 +360,11 @@
             }
         }
 
-        private FullHttpRequest message(InetSocketAddress to) {
-            FullHttpRequest message = new DefaultFullHttpRequest(HttpVersion.HTTP_1_1, order.method(),
-                order.uri(), Unpooled.wrappedBuffer(order.body()));
+        private HttpRequest message(InetSocketAddress to) {
+            HttpRequest message = order.upload() != null
+                ? new DefaultHttpRequest(HttpVersion.HTTP_1_1, order.method(), order.uri())
+                : new DefaultFullHttpRequest(HttpVersion.HTTP_1_1, order.method(), order.uri(),
+                    Unpooled.wrappedBuffer(order.body()));
             message.headers().add(order.headers());
             if (!message.headers().contains(HttpHeaderNames.HOST)) {
                 message.headers().set(HttpHeaderNames.HOST,
@@ -351,23 +373,30 @@
             if (waitMillis > 0) {
                 message.headers().set(ClientServer.DEADLINE, Long.toString(waitMillis));
             }
-            if (order.body().length > 0 || !order.method().equals(HttpMethod.GET)) {
-                HttpUtil.setContentLength(message, order.body().length);
+            if (order.length() < 0) {
+                HttpUtil.setTransferEncodingChunked(message, true);
+            } else if (order.length() > 0 || !order.method().equals(HttpMethod.GET)) {
+                HttpUtil.setContentLength(message, order.length());
             }
             return message;
         }
     }
 
     /** One connection; it carries one request at a time, and is idle where {@code call} is null. */
-    private final class Connection extends SimpleChannelInboundHandler<FullHttpResponse> {
+    private final class Connection extends SimpleChannelInboundHandler<HttpObject> {
         private final Upstream upstream;
         private Channel channel;
         private Call call;
         private boolean begun;                      // some of the request may have been written
         private boolean written;                    // all of it has been
         private long idleSince;
+        private HttpResponse head;                  // of the answer that comes, null between answers
+        private ByteBuf gathered;                   // of its body, until it is whole or too long for that
+        private Future<?> gathering;                // for how long, where its length is not known
+        private Relay download;                     // or the way that it is passed on
         private FullHttpResponse whole;             // an answer, until all that came with it has been read
-        private boolean more;                       // whole ones have come behind it
+        private boolean passed;                     // a long one has ended: the same
+        private boolean more;                       // others have come behind it
         private boolean broken;                     // nothing more that comes can be trusted
         private final Framing.Answers decoder = new Framing.Answers();
 
@@ -384,18 +413,43 @@
             next.connection = this;
             begun = true;
             written = false;
-            channel.writeAndFlush(next.message(upstream.endpoint)).addListener(done -> {
-                if (done.isSuccess() && !next.isProbe()) {
-                    metrics.sent();
-                }
-                if (call == next) {
-                    written = done.isSuccess();
-                    if (!written) {
-                        finish(Outcome.CONNECT_FAILED, null, null);
-                        close();
+            if (next.order.upload() != null) {
+                channel.write(next.message(upstream.endpoint));
+                next.order.upload().to(channel, new Relay.Sink() {
+                    @Override
+                    public void whole() {
+                        written(next, true);
                     }
+
+                    @Override
+                    public void cut() {
+                        close();                    // the client left: its request never was a whole one
+                    }
+                });
+            } else {
+                channel.writeAndFlush(next.message(upstream.endpoint))
+                    .addListener(done -> written(next, done.isSuccess()));
+            }
+        }
+
+        private void written(Call next, boolean all) {
+            if (all && !next.isProbe()) {
+                metrics.sent();
+            }
+            if (call == next) {
+                written = all;
+                if (!written) {
+                    finish(Outcome.CONNECT_FAILED, null, null);
+                    close();
                 }
-            });
+            }
+        }
+
+        @Override
+        public void channelWritabilityChanged(ChannelHandlerContext context) {
+            if (call != null && call.order.upload() != null) {
+                call.order.upload().flow();
+            }
         }
 
         void rest() {
@@ -422,24 +476,99 @@
         }
 
         @Override
-        protected void channelRead0(ChannelHandlerContext context, FullHttpResponse answer) {
-            if (call == null) {
+        protected void channelRead0(ChannelHandlerContext context, HttpObject part) {
+            if (call == null || broken) {
                 return;                             // given up meanwhile
             }
-            if (!answer.decoderResult().isSuccess()) {
-                unreadable(answer.decoderResult().toString());
-            } else if (whole != null) {
+            if (!part.decoderResult().isSuccess()) {
+                unreadable(part.decoderResult().toString());
+            } else if (whole != null || passed) {
                 more = true;
-            } else if (answer.status().codeClass() != HttpStatusClass.INFORMATIONAL) {
-                whole = answer.retain();
+            } else {
+                if (part instanceof HttpResponse start) {
+                    head = start;
+                }
+                if (part instanceof HttpContent content && head != null) {
+                    gather(content);
+                }
             }
         }
 
+        private void gather(HttpContent content) {
+            boolean last = content instanceof LastHttpContent;
+            if (head.status().codeClass() == HttpStatusClass.INFORMATIONAL) {
+                head = last ? null : head;
+                return;
+            }
+            if (download == null && gathered == null) {
+                gathered = channel.alloc().heapBuffer();
+                if (length() < 0 && !last) {
+                    gathering = loop.schedule(this::pass, GATHER_MS, TimeUnit.MILLISECONDS);
+                }
+            }
+            if (download != null) {
+                download.add(content.content().retain());
+            } else if (gathered.readableBytes() + content.content().readableBytes() <= WHOLE_MOST) {
+                gathered.writeBytes(content.content());
+                if (length() > WHOLE_MOST) {
+                    pass();
+                }
+            } else {
+                pass();
+                if (download != null) {
+                    download.add(content.content().retain());
+                }
+            }
+            if (last && download != null) {
+                passed = true;
+            } else if (last && gathered != null) {
+                stopGathering();
+                whole = new DefaultFullHttpResponse(HttpVersion.HTTP_1_1, head.status(), gathered,
+                    head.headers(), EmptyHttpHeaders.INSTANCE);
+                gathered = null;
+            }
+        }
+
+        private long length() {
+            return HttpUtil.getContentLength(head, -1L);
+        }
+
+        private void stopGathering() {
+            if (gathering != null) {
+                gathering.cancel(false);
+                gathering = null;
+            }
+        }
+
+        // Passes a 200 answer on as it comes; of any other the status has told all.
+        private void pass() {
+            stopGathering();
+            ByteBuf begin = gathered;
+            if (call == null || broken || begin == null) {
+                return;
+            }
+            if (head.status().code() != 200 || call.isProbe()) {
+                begin.clear();
+                return;
+            }
+            if (!written) {
+                unreadable("served before the request was written");
+                return;
+            }
+            gathered = null;
+            download = new Relay(channel, budget, this::close);
+            download.add(begin);
+            call.listener.begun(head, length(), download, LoadReport.parse(head.headers().get("Srv-Load")));
+        }
+
         // An answer with a part of something behind it was not as long as its upstream meant. With whole ones
         // behind it the first is this request's, and the connection ends with it.
         @Override
         public void channelReadComplete(ChannelHandlerContext context) {
             FullHttpResponse answer = whole;
+            if (passed && !broken) {
+                passedOn();
+            }
             if (answer == null) {
                 return;
             }
@@ -458,15 +587,42 @@
             }
         }
 
+        // The whole of a long answer has come; the client may still be taking it in.
+        private void passedOn() {
+            boolean keep = HttpUtil.isKeepAlive(head) && !more && !decoder.holdsBytes() && channel.isActive();
+            Relay ending = download;
+            Call answered = call;
+            forget();
+            call = null;
+            if (keep) {
+                rest();
+            } else {
+                close();
+            }
+            ending.end();
+            if (answered != null) {
+                answered.end(Outcome.OK, null, null);
+            }
+        }
+
         private void answered(FullHttpResponse answer) {
+            if (!written && answer.status().code() == 200) {
+                unreadable("served before the request was written");
+                return;
+            }
             Call answered = call;
+            boolean early = !written;
+            forget();
             call = null;
             // Back among the idle before the module hears of it: its next send may want this one.
-            if (HttpUtil.isKeepAlive(answer) && !more) {
+            if (HttpUtil.isKeepAlive(answer) && !more && !early && channel.isActive()) {
                 rest();
             } else {
                 close();
             }
+            if (early) {
+                answered.order.upload().discard();
+            }
             String report = answer.headers().get("Srv-Load");
             if (report == null && answered.isProbe()) {
                 report = answer.content().toString(StandardCharsets.UTF_8);     // of a probe
@@ -474,14 +630,32 @@
             answered.end(classify(answer), answer, LoadReport.parse(report));
         }
 
+        private void forget() {
+            stopGathering();
+            if (gathered != null) {
+                gathered.release();
+                gathered = null;
+            }
+            head = null;
+            download = null;
+            passed = false;
+        }
+
         @Override
         public void exceptionCaught(ChannelHandlerContext context, Throwable cause) {
             if (!(cause instanceof IOException)) {
                 unreadable(String.valueOf(cause));
             }
+            broken = true;                          // what the end of input would make whole is not
             close();                                // what became of the request is told in closed()
         }
 
+        // After the decoder has given what the end of the connection makes whole.
+        @Override
+        public void channelInactive(ChannelHandlerContext context) {
+            lost();
+        }
+
         // Ends the connection and, in closed(), what it carries as an attempt that may have run.
         private void unreadable(String why) {
             if (!broken) {
@@ -501,6 +675,25 @@
             descriptors.closed();
             open--;
             upstream.idle.remove(this);
+            if (call != null && !begun) {
+                finish(Outcome.CONNECT_FAILED, null, null);
+            }
+        }
+
+        private void lost() {
+            if (whole != null) {
+                whole.release();
+                whole = null;
+            }
+            Relay cut = download;
+            Relay unsent = call == null ? null : call.order.upload();
+            forget();
+            if (cut != null) {
+                cut.cut();
+            }
+            if (unsent != null) {
+                unsent.discard();
+            }
             finish(written ? Outcome.RESET : Outcome.CONNECT_FAILED, null, null);
         }
 
@@ -511,7 +704,7 @@
         private final class Arrivals extends ChannelInboundHandlerAdapter {
             @Override
             public void channelRead(ChannelHandlerContext context, Object bytes) {
-                if (call == null || !written) {
+                if (call == null || !written && call.order.upload() == null) {
                     unreadable(call == null ? "nobody asked" : "before the request was written");
                 }
                 if (broken) {
--- a/src/test/java/junctionhead/net/NodeTest.java
+++ b/src/test/java/junctionhead/net/NodeTest.java
@@ -43,6 +43,7 @@
         volatile boolean broken;
         volatile String server = "s1";
         volatile Policy.Actions actions;
+        volatile String taken;
 
         @Override
         public void servers(long now, ListKind kind, List<Server> servers, Actions out) {
@@ -53,6 +54,7 @@
         @Override
         public void request(long now, String request, int requestClass, int tenant, String key, long timeLeft,
                 long work, boolean resubmission, Actions out) {
+            taken = request;
             requests.add(requestClass + " " + key + " " + work + " " + resubmission);
             if (broken) {
                 throw new IllegalStateException("broken");
@@ -71,6 +73,21 @@
             }
         }
 
+        @Override
+        public void uploading(long now, String request) {
+            told.add("uploading");
+        }
+
+        @Override
+        public void uploaded(long now, String request, long timeLeft, Actions out) {
+            told.add("uploaded");
+        }
+
+        @Override
+        public void brokeOff(long now, String server, Actions out) {
+            told.add("broke off " + server);
+        }
+
         @Override
         public void streamStarted(long now, String request, int attempt, Actions out) { }
 
