--- a/src/main/java/junctionhead/Main.java
+++ b/src/main/java/junctionhead/Main.java
@@ -11,7 +11,10 @@
 import java.nio.charset.StandardCharsets;
 import junctionhead.net.Node;
 
-/** Starts a real balancer, or the adapter on standard input and output. */
+/**
+ * Starts a real balancer, or the adapter on standard input and output; {@code prepare} starts a balancer that
+ * ends once it could serve, for the virtual machine to write down which classes that takes.
+ */
 public final class Main {
     private Main() { }
 
@@ -19,8 +22,11 @@
         if (args.length == 1 && args[0].equals("serve")) {
             System.exit(Node.serve(System.getenv()));
         }
+        if (args.length == 1 && args[0].equals("prepare")) {
+            System.exit(Node.prepare());
+        }
         if (args.length != 1 || !args[0].equals("wirehost")) {
-            System.err.println("usage: java -jar junctionhead.jar serve | wirehost");
+            System.err.println("usage: java -jar junctionhead.jar serve | prepare | wirehost");
             System.exit(2);
         }
         try (BufferedReader in = new BufferedReader(new InputStreamReader(
--- a/src/main/java/junctionhead/net/Node.java
+++ b/src/main/java/junctionhead/net/Node.java
@@ -1,9 +1,11 @@
 package junctionhead.net;
 
+import com.fasterxml.jackson.jr.ob.JSON;
 import io.netty.channel.EventLoop;
 import io.netty.channel.local.LocalAddress;
 import io.netty.channel.nio.NioEventLoopGroup;
 import java.io.IOException;
+import java.io.InputStream;
 import java.net.InetSocketAddress;
 import java.nio.channels.ServerSocketChannel;
 import java.util.Map;
@@ -20,6 +22,7 @@
     private static final long FLUSH_MS = 20;        // for the last answers to leave
 
     private static final long PUBLISH_MS = 100;     // between figures for operators
+    private static final long PREPARE_S = 30;       // at most
     private static final long COUNTERS_S = 5;       // between looks at the counters
 
     private final Consumer<String> log;
@@ -94,6 +97,31 @@
         stats = metrics.stats(clients.isReady(), dispatcher.owed(), upstreams.inList(), dispatcher.avoided());
     }
 
+    /**
+     * Starts a balancer by itself, whose only upstream does not exist, and returns once it has rehearsed: 0,
+     * or 1 where that takes too long. Run with {@code -XX:ArchiveClassesAtExit} it leaves the classes of a
+     * start.
+     */
+    public static int prepare() {
+        try (InputStream told = Node.class.getResourceAsStream("/prepare.json")) {
+            Node node = new Node(Config.of(Map.of(), JSON.std.mapFrom(told)), Balance::new, true,
+                System.err::println);
+            node.start();
+            long until = System.nanoTime() + TimeUnit.SECONDS.toNanos(PREPARE_S);
+            while (!node.stats.ready() && System.nanoTime() - until < 0) {
+                TimeUnit.MILLISECONDS.sleep(10);
+            }
+            boolean ready = node.stats.ready();
+            node.stop();
+            return ready ? 0 : 1;
+        } catch (IOException e) {
+            System.err.println("junctionhead: " + e.getMessage());
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+        }
+        return 1;
+    }
+
     /** Runs a balancer until it is told to stop; returns only if it can't start. */
     public static int serve(Map<String, String> environment) {
         Consumer<String> log = line -> System.err.println("junctionhead: " + line);
--- a/src/test/java/junctionhead/MainTest.java
+++ b/src/test/java/junctionhead/MainTest.java
@@ -48,7 +48,15 @@
     @ValueSource(strings = {"", "adapter", "wirehost extra"})
     void wrongArgumentsGetAUsageLine(String arguments) throws IOException, InterruptedException {
         Run run = run("", arguments.isEmpty() ? new String[0] : arguments.split(" "));
-        assertEquals(new Run(2, "", "usage: java -jar junctionhead.jar serve | wirehost\n"), run);
+        assertEquals(new Run(2, "", "usage: java -jar junctionhead.jar serve | prepare | wirehost\n"), run);
+    }
+
+    /** What the build runs to write the classes of a start down; it needs neither discovery nor upstreams. */
+    @Test
+    void preparingStartsABalancerAndEnds() throws IOException, InterruptedException {
+        Run run = run("", "prepare");
+        assertEquals(0, run.exit(), run.err());
+        assertTrue(run.err().contains("stopped: 0 requests taken"), run.err());
     }
 
     @Test
