Make room by stillness: slow clients were cut off while a crowd kept its places

Accepting stood still up to 300 ms at a time: makeRoom let no newcomer go before that age, so at most some 200 a second came in, and then the oldest went, which a client that writes for 2 s always is. The half of all descriptors that upstreams got and a reserve of 64, of which some 25 were used, made it worse.

Now the stillest newcomer goes first: one that was answered and stays at once, a silent one after 50 ms, one that began after 300 ms without a byte; accepting is looked at every 50 ms. Not taken: a larger backlog (clients wait behind the crowd in it), dropping the oldest.

--- a/src/main/java/junctionhead/net/ClientServer.java
+++ b/src/main/java/junctionhead/net/ClientServer.java
@@ -74,7 +74,11 @@
     private static final long LINGER_MS = 4_000;    // for a client to take an answer in while it still sends
     private static final long DRAIN_FIRST_MS = 600; // after a drain's begin, until connections at rest go
     private static final long DRAIN_EVERY_MS = 400;
-    private static final long GREETING_NS = 300_000_000; // after it a silent newcomer may have to make room
+    // How long a newcomer that makes no progress keeps its place where there is no room: one that has sent
+    // nothing at all, and one that has begun.
+    private static final long GREETING_NS = 50_000_000;
+    private static final long PAUSE_NS = 300_000_000;
+    private static final long AGAIN_MS = 50;        // between looks for room, while new ones wait
     private static final Set<String> HOP_BY_HOP = Set.of("connection", "keep-alive", "proxy-connection",
         "proxy-authenticate", "proxy-authorization", "te", "trailer", "transfer-encoding", "upgrade",
         "expect", "content-length", DEADLINE.toLowerCase(Locale.ROOT));
@@ -87,7 +91,7 @@
     private final Events events;
     private final Relay.Budget budget;
     private final Set<Client> idle = new LinkedHashSet<>(); // the longest idle first
-    private final Set<Client> newcomers = new LinkedHashSet<>(); // no proper request yet, the oldest first
+    private final Set<Client> newcomers = new LinkedHashSet<>(); // no proper request yet, the stillest first
     private Channel listener;
     private int open;
     private Future<?> again;                        // while new ones wait for room
@@ -239,21 +243,22 @@
             .distinct().toList();
     }
 
-    // Makes room before an accept can fail, and keeps half of the descriptors for the upstreams: clients need
-    // no more than a third, and with peers that came, asked something and stayed there was none left to reach
-    // a server. First go connections that have not proved to be a client's, then those that nobody needs,
-    // then those of clients at rest, the longest first; at last new ones wait in the backlog.
+    // Makes room before an accept can fail, and keeps descriptors for the upstreams: with peers that came,
+    // asked something and stayed there was none left to reach a server. First go connections that have not
+    // proved to be a client's and make no progress, then upstreams' that nobody needs, then those at rest,
+    // which cost their clients a new connection; at last new ones wait in the backlog, where clients wait
+    // with them: it has to move on.
     private void makeRoom() {
-        long before = System.nanoTime() - GREETING_NS;
-        while (descriptors.crowded(open) && !newcomers.isEmpty()
-                && newcomers.iterator().next().since - before < 0) {
-            newcomers.iterator().next().drop("no request yet, and no room");
+        Client still = stillest();
+        while (still != null && descriptors.crowded(open)) {
+            still.drop("no request yet, and no room");
+            still = stillest();
         }
         while (descriptors.full() && shedIdleUpstream.getAsBoolean()) {
             continue;
         }
         while (descriptors.crowded(open) && !idle.isEmpty()) {
-            idle.iterator().next().drop("at rest, and no room");
+            leastProved().drop("at rest, and no room");
         }
         boolean room = !descriptors.crowded(open);
         listener.config().setAutoRead(room && accepting);
@@ -263,10 +268,29 @@
                 if (listener.isOpen()) {
                     makeRoom();
                 }
-            }, GREETING_NS, TimeUnit.NANOSECONDS);
+            }, AGAIN_MS, TimeUnit.MILLISECONDS);
         }
     }
 
+    // The newcomer that may go first, or null: one that has been answered and stays, one that has sent
+    // nothing, or one that has begun and stopped. Slow ones go on, and so come to stand behind these.
+    private Client stillest() {
+        long now = System.nanoTime();
+        for (Client c : newcomers) {
+            boolean answered = c.requests > 0 && !c.receiving && !c.busy;
+            long patience = answered ? 0 : c.receiving ? PAUSE_NS : GREETING_NS;
+            if (!c.busy && now - c.movedAt >= patience) {
+                return c;
+            }
+        }
+        return null;
+    }
+
+    // Of those at rest the longest, and before all others one that has asked but once.
+    private Client leastProved() {
+        return idle.stream().filter(c -> c.requests <= 1).findFirst().orElseGet(() -> idle.iterator().next());
+    }
+
     /** One connection of a client. */
     private final class Client extends SimpleChannelInboundHandler<HttpObject> {
         private final Channel channel;
@@ -288,7 +312,7 @@
         private long awaitedBytes;                  // of its body, at that time
         private long heardAt;
         private final Framing.Requests decoder = new Framing.Requests();
-        private final long since = System.nanoTime();
+        private long movedAt = System.nanoTime();   // when it came, or last sent something
         private final long number = ++clients;
         private long requests;
         private String current;                     // the id of the last request that was handled
@@ -760,6 +784,10 @@
                 }
                 receiving = true;
                 idle.remove(Client.this);
+                if (newcomers.remove(Client.this)) {
+                    newcomers.add(Client.this);
+                    movedAt = System.nanoTime();
+                }
                 if (!busy) {
                     awaitRequest();
                 }
--- a/src/main/java/junctionhead/net/Descriptors.java
+++ b/src/main/java/junctionhead/net/Descriptors.java
@@ -2,11 +2,12 @@
 
 /**
  * Counts the sockets of this process against its limit on descriptors. Guards against accepts and connects
- * that fail for want of descriptors: a reserve stays for what is not counted here (jars, the selector,
- * discovery, the listener).
+ * that fail for want of descriptors: a reserve stays for what is not counted here (jars, the selectors,
+ * discovery, the listener, the operators' door, and what one look at the backlog accepts).
  */
 final class Descriptors {
-    private static final int RESERVE = 64;
+    private static final int RESERVE = 40;
+    private static final int SPARE = 8;             // beyond those that the upstreams have now
     private final int most;
     private int open;
 
@@ -29,7 +30,8 @@
 
     /** Whether {@code clients} connections of clients leave too few for those to the upstreams. */
     boolean crowded(int clients) {
-        return full() || clients > most / 2;
+        int upstreams = Math.max(most / 3, open - clients + SPARE);
+        return full() || clients > most - upstreams;
     }
 
     boolean full() {
--- a/src/test/java/junctionhead/net/SlowPeersTest.java
+++ b/src/test/java/junctionhead/net/SlowPeersTest.java
@@ -164,4 +164,30 @@
             }
         }
     }
+
+    /** Its place goes to nobody who does less: neither to the silent nor to those that begin and stop. */
+    @Test
+    void aSlowClientKeepsItsPlaceAmongPeersThatStandStill() throws Exception {
+        start(40);
+        List<Client> still = new ArrayList<>();
+        try (Client slow = new Client(at)) {
+            int pieces = 20;
+            int length = NodeTest.SAFE.length() / pieces + 1;
+            for (int i = 0; i < pieces; i++) {
+                int end = Math.min(NodeTest.SAFE.length(), (i + 1) * length);
+                slow.send(NodeTest.SAFE.substring(i * length, end));
+                for (int j = 0; j < 3; j++) {
+                    still.add(new Client(at));
+                    still.get(still.size() - 1).send(j == 0 ? "" : j == 1 ? "GET /" : READY);
+                }
+                TimeUnit.MILLISECONDS.sleep(40);    // the pace of the slow one, over a half-second in all
+            }
+            upstream.next().answer(200, "", "ok");
+            assertEquals(200, slow.status());
+        } finally {
+            for (Client peer : still) {
+                peer.close();
+            }
+        }
+    }
 }
