Look at the configuration where SIGHUP was ignored from the start

Examined by a trace of sends and lists at 40 balancers: all late sends came from balancers that had not heard the news; it ended balancer by balancer, where SIGHUP was due, and no log held "configuration reread". Excluded by it: sends to servers known to drain, connects that outlast the grace, a lagging loop, a watch that failed.

Now Hangup tells, the log says so, and the file is looked at every 0.5 s in place of the signal. Not taken: looking at the file always (SIGHUP tells when a file is complete). The test fails without the change.

--- a/src/main/java/junctionhead/net/Hangup.java
+++ b/src/main/java/junctionhead/net/Hangup.java
@@ -6,8 +6,11 @@
 final class Hangup {
     private Hangup() { }
 
-    /** Runs {@code then} at each SIGHUP, on a thread of its own; throws where the platform has none. */
-    static void on(Runnable then) throws ReflectiveOperationException {
+    /**
+     * Runs {@code then} at each SIGHUP, on a thread of its own; throws where the platform has none. False
+     * where the signal was ignored when the process began, as under nohup: the virtual machine leaves it so.
+     */
+    static boolean on(Runnable then) throws ReflectiveOperationException {
         // Named, not imported: the compiler warns of this package, and a warning ends the build.
         Class<?> signal = Class.forName("sun.misc.Signal");
         Class<?> handler = Class.forName("sun.misc.SignalHandler");
@@ -21,7 +24,8 @@
                 case "hashCode" -> System.identityHashCode(proxy);
                 default -> "SIGHUP";
             });
-        signal.getMethod("handle", signal, handler)
+        Object before = signal.getMethod("handle", signal, handler)
             .invoke(null, signal.getConstructor(String.class).newInstance("HUP"), runs);
+        return before != handler.getField("SIG_IGN").get(null);
     }
 }
--- a/src/main/java/junctionhead/net/Node.java
+++ b/src/main/java/junctionhead/net/Node.java
@@ -8,6 +8,7 @@
 import java.io.InputStream;
 import java.net.InetSocketAddress;
 import java.nio.channels.ServerSocketChannel;
+import java.nio.file.Path;
 import java.util.Map;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
@@ -21,6 +22,7 @@
     private static final long LINGER_MS = 600;      // after SIGTERM: clients go on coming for a while
     private static final long FLUSH_MS = 20;        // for the last answers to leave
 
+    private static final long WATCH_MS = 500;       // between looks at the configuration, without SIGHUP
     private static final long PUBLISH_MS = 100;     // between figures for operators
     private static final long PREPARE_S = 30;       // at most
     private static final long COUNTERS_S = 5;       // between looks at the counters
@@ -133,8 +135,9 @@
             log.accept(e.getMessage());
             return 1;
         }
+        boolean heard = false;
         try {
-            Hangup.on(() -> node.reload(environment));
+            heard = Hangup.on(() -> node.reload(environment));
         } catch (ReflectiveOperationException e) {
             log.accept("SIGHUP is not heard here: " + e);
         }
@@ -149,6 +152,10 @@
             // Without this the exit code would tell of the signal, not of the orderly end.
             Runtime.getRuntime().halt(0);
         }));
+        if (!heard) {
+            log.accept("SIGHUP is ignored here since the start: looking at the configuration instead");
+            node.watch(environment);
+        }
         // Said only now: whoever reads it may send the signal at once.
         log.accept("listening on " + at.getAddress().getHostAddress() + ":" + at.getPort());
         node.await();
@@ -215,6 +222,16 @@
         return doorAt;
     }
 
+    // In place of SIGHUP: a balancer that never hears of its new discovery sends to servers that drain.
+    private void watch(Map<String, String> environment) {
+        FileWatch file = new FileWatch(Path.of(environment.get("ROUTER_CONFIG")));
+        loop.scheduleWithFixedDelay(() -> {
+            if (file.changed()) {
+                reload(environment);
+            }
+        }, WATCH_MS, WATCH_MS, TimeUnit.MILLISECONDS);
+    }
+
     // Only the address of discovery may change while it runs; all else takes effect at the next start.
     private void reload(Map<String, String> environment) {
         try {
--- a/src/test/java/junctionhead/MainTest.java
+++ b/src/test/java/junctionhead/MainTest.java
@@ -148,6 +148,29 @@
         Files.delete(config);
     }
 
+    /** As under nohup: the signal can't be heard then, but what it tells of has to take effect. */
+    @Test
+    @Timeout(60)
+    void whereSighupIsIgnoredFromTheStartANewConfigurationTakesEffectAllTheSame()
+            throws IOException, InterruptedException {
+        Path config = config("127.0.0.1:0");
+        Process process = serve(config.toString(), "/bin/sh", "-c", "trap '' HUP; exec \"$@\"", "sh");
+        try (BufferedReader err = process.errorReader(StandardCharsets.UTF_8)) {
+            awaitLine(err, "SIGHUP is ignored here since the start");
+            awaitLine(err, "listening on ");
+            Files.writeString(config, "{");
+            awaitLine(err, "keeping the old configuration: ");
+            Files.writeString(config, config("127.0.0.1:0", "127.0.0.1:19"));
+            awaitLine(err, "configuration reread: discovery at 127.0.0.1:19");
+            hangUp(process);
+            process.destroy();
+            assertEquals(0, process.waitFor());
+        } finally {
+            process.destroyForcibly();
+        }
+        Files.delete(config);
+    }
+
     private static void hangUp(Process process) throws IOException, InterruptedException {
         assertEquals(0, new ProcessBuilder("kill", "-HUP", Long.toString(process.pid())).start().waitFor());
     }
@@ -162,20 +185,25 @@
 
     private static Path config(String listen) throws IOException {
         Path config = Files.createTempFile("junctionhead", ".json");
-        return Files.writeString(config, """
-            {"listen": "%s", "discovery": "127.0.0.1:9", "seed": "8c1f30d27a5be964", "settings": {
+        return Files.writeString(config, config(listen, "127.0.0.1:9"));
+    }
+
+    private static String config(String listen, String discovery) {
+        return """
+            {"listen": "%s", "discovery": "%s", "seed": "8c1f30d27a5be964", "settings": {
               "Balancers": 1, "Quantum": 5000, "MembershipMode": "ask",
               "Classes": [{"Name": "a", "Idempotency": "safe", "GoalTime": 600000, "GiveUp": 1200000}],
               "Limits": {"TryLimit": 3, "MayDuplicate": true, "Cancel": true, "Probes": true},
               "Rules": {"AnswerSlack": 20000, "DrainGrace": 1000000, "AskWithin": 10000000, "ColdFrom": 0.2,
                 "RampTime": 20000000, "OverloadFactor": 2.5, "Fall": 1500000}}}
-            """.formatted(listen));
+            """.formatted(listen, discovery);
     }
 
-    private static Process serve(String config) throws IOException {
-        ProcessBuilder builder = new ProcessBuilder(
-            Path.of(System.getProperty("java.home"), "bin", "java").toString(), "-cp",
-            System.getProperty("java.class.path"), "junctionhead.Main", "serve");
+    private static Process serve(String config, String... by) throws IOException {
+        List<String> command = new ArrayList<>(List.of(by));
+        command.addAll(List.of(Path.of(System.getProperty("java.home"), "bin", "java").toString(), "-cp",
+            System.getProperty("java.class.path"), "junctionhead.Main", "serve"));
+        ProcessBuilder builder = new ProcessBuilder(command);
         builder.environment().keySet().removeIf(name -> name.startsWith("ROUTER_"));
         if (!config.isEmpty()) {
             builder.environment().put("ROUTER_CONFIG", config);
