Leave clients a place where there are few descriptors: tests with 4 of them stood still

Excluded: the order of eviction (none was due). Line at fault: SPARE in Descriptors.crowded. The spare is half of all at most now, and clients keep a third, or one.

--- a/src/main/java/junctionhead/net/Descriptors.java
+++ b/src/main/java/junctionhead/net/Descriptors.java
@@ -30,8 +30,8 @@
 
     /** Whether {@code clients} connections of clients leave too few for those to the upstreams. */
     boolean crowded(int clients) {
-        int upstreams = Math.max(most / 3, open - clients + SPARE);
-        return full() || clients > most - upstreams;
+        int wanted = Math.max(most / 3, open - clients + Math.min(SPARE, most / 2));
+        return full() || clients > most - Math.min(wanted, most - Math.max(1, most / 3));
     }
 
     boolean full() {
