Divide the descriptors between an old and a new process

Design: where the listening socket is shared a process keeps twice the reserve, and to half of the rest until 10 s after its readiness: the old process has had its signal (6 s) and its time (3.7 s) by then. Not taken: telling each other how many are open (through a file or the door): the old one only shrinks after its signal. A relay that was cut off before it had a sink now says so to the sink, whose connection would have stayed half written.

Observed: both processes together used up to 231 of 384, but nothing kept two at 344 each from the limit that counts for both. Memory needed no division: 91 to 99 MB of 208 for two, all pools fixed by the flags of `run`.

--- a/src/main/java/junctionhead/net/Descriptors.java
+++ b/src/main/java/junctionhead/net/Descriptors.java
@@ -8,11 +8,19 @@
 final class Descriptors {
     private static final int RESERVE = 40;
     private static final int SPARE = 8;             // beyond those that the upstreams have now
-    private final int most;
+    private final int all;
+    private int most;
     private int open;
 
-    Descriptors(int limit) {
-        this.most = Math.max(2, limit - Math.min(RESERVE, limit / 2));
+    /** {@code shared}: another process of this balancer may count against the same limit for a while. */
+    Descriptors(int limit, boolean shared) {
+        this.all = Math.max(2, limit - Math.min(shared ? 2 * RESERVE : RESERVE, limit / 2));
+        this.most = shared ? Math.max(2, all / 2) : all;
+    }
+
+    /** From here on this process has the limit to itself, but for what one that starts needs. */
+    void alone() {
+        most = all;
     }
 
     void opened() {
--- a/src/main/java/junctionhead/net/Node.java
+++ b/src/main/java/junctionhead/net/Node.java
@@ -22,6 +22,7 @@
     private static final long LINGER_MS = 600;      // after SIGTERM: clients go on coming for a while
     private static final long FLUSH_MS = 20;        // for the last answers to leave
 
+    private static final long HANDOVER_S = 10;      // from readiness until the old process has ended, at most
     private static final long WATCH_MS = 500;       // between looks at the configuration, without SIGHUP
     private static final long PUBLISH_MS = 100;     // between figures for operators
     private static final long PREPARE_S = 30;       // at most
@@ -53,7 +54,7 @@
         this.rehearsed = !rehearse;
         this.config = config;
         this.log = log;
-        descriptors = new Descriptors(config.sockets());
+        descriptors = new Descriptors(config.sockets(), config.inherited());
         Policy policy = module.apply(config.boot().settings(), config.seed());
         events = new Events(log, System::nanoTime);
         metrics = new Metrics(config.boot().classes());
@@ -265,6 +266,8 @@
         if (hasList && rehearsed) {
             clients.ready();
             publish();
+            // By then the process that this one took over from has had its time, and holds no descriptors.
+            loop.schedule(descriptors::alone, HANDOVER_S, TimeUnit.SECONDS);
         }
     }
 
--- a/src/main/java/junctionhead/net/Rehearsal.java
+++ b/src/main/java/junctionhead/net/Rehearsal.java
@@ -54,7 +54,7 @@
         Metrics metrics = new Metrics(boot.classes());
         Events quiet = new Events(line -> { }, System::nanoTime);
         dispatcher = new Dispatcher(loop, boot, policy, line -> { }, quiet, metrics);
-        Descriptors descriptors = new Descriptors(config.sockets());
+        Descriptors descriptors = new Descriptors(config.sockets(), false);
         Relay.Budget budget = new Relay.Budget();
         back = new Upstreams(loop, boot, descriptors, dispatcher::now, quiet, metrics, budget, inside);
         front = new Upstreams(loop, boot, descriptors, dispatcher::now, quiet, metrics, budget, inside);
--- a/src/main/java/junctionhead/net/Relay.java
+++ b/src/main/java/junctionhead/net/Relay.java
@@ -111,7 +111,11 @@
         sink = channel;
         listener = then;
         moved = System.nanoTime();
-        flow();
+        if (over) {
+            then.cut();                             // the source broke off before
+        } else {
+            flow();
+        }
     }
 
     /** The sink wants no more. */
