--- a/src/main/java/junctionhead/net/Descriptors.java
+++ b/src/main/java/junctionhead/net/Descriptors.java
@@ -6,7 +6,7 @@
  * discovery, the listener, the operators' door, and what one look at the backlog accepts).
  */
 final class Descriptors {
-    private static final int RESERVE = 40;
+    private static final int RESERVE = 48;
     private static final int SPARE = 8;             // beyond those that the upstreams have now
     private final int all;
     private int most;
--- a/src/test/java/junctionhead/net/DescriptorsTest.java
+++ b/src/test/java/junctionhead/net/DescriptorsTest.java
@@ -25,7 +25,7 @@
     void twoProcessesAtTheirLimitsStayWithinThatOfTheBalancer() {
         Descriptors fresh = new Descriptors(384, true);
         int half = room(fresh);
-        assertTrue(2 * half + 2 * 40 <= 384, half + " sockets");
+        assertTrue(2 * half + 2 * 48 <= 384, half + " sockets");
         fresh.alone();
         assertEquals(2 * half, room(fresh));
         assertTrue(room(new Descriptors(384, false)) > room(fresh));
@@ -33,7 +33,7 @@
 
     @Test
     void clientsLeaveAThirdToTheUpstreamsAndMoreWhereTheseHaveMore() {
-        Descriptors descriptors = new Descriptors(190, false);      // 150 sockets
+        Descriptors descriptors = new Descriptors(198, false);      // 150 sockets
         assertFalse(descriptors.crowded(100));
         assertTrue(descriptors.crowded(101));
         for (int i = 0; i < 60 + 82; i++) {
