--- a/src/main/java/junctionhead/net/Rehearsal.java
+++ b/src/main/java/junctionhead/net/Rehearsal.java
@@ -24,7 +24,9 @@
     static final String PATH = "/-/rehearsal";
     static final String HOP = "/-/rehearsed";
 
-    private static final int REQUESTS = 300;
+    // The first ones load and link what a request needs. More of them compile it too, which takes as long
+    // whoever pays for it; but while a rehearsal lasts nobody is served.
+    private static final int REQUESTS = 40;
     private static final int AT_ONCE = 8;
     private static final int DECLINED = 3;          // every third is turned away in the last part
     private static final int SERVERS = 8;
