Bound refusal by what servers in reach can carry, and tell lost servers in the zone

Ruled out: descriptors (100 of 384), CPU (half a core, 0.5 s at most).

Data flow: a datagram (`PeerMessage`, format 3) now carries the sender's zone, its rate and the servers that it has found cut off itself; what is only heard is not told on. `saidLost` leaves such a server out for 1 to 2 s unless it answered here within 1 s; only its finders try it meanwhile. `Capacity` owns the rate of requests and the part of the fleet in reach and warm; tenants' shares tell what the whole fleet can do. `steer` stays, between two bounds: what is over the capacity at best is refused at once, and no more than leaves six tenths of what is promised. Both rest where no other balancer is heard. Bounds: 256 bytes, 40 lost servers, 16 rests; a message of another zone says nothing of reach, and one from a format before is passed over. Way not taken: capacity from the rate of answers (tried before): it falls with what refusal itself turns away.

--- a/src/main/java/junctionhead/Balance.java
+++ b/src/main/java/junctionhead/Balance.java
@@ -11,10 +11,8 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.SplittableRandom;
-import java.util.TreeMap;
 import java.util.stream.DoubleStream;
 import java.util.stream.IntStream;
-import java.util.stream.Stream;
 import junctionhead.Books.Attempt;
 import junctionhead.Books.Node;
 import junctionhead.Books.Request;
@@ -35,10 +33,8 @@
     private static final double FADE = 10e6;            // µs, time constant of all decaying counts
     private static final double QUICK = 2e6;            // µs, the same for the rate of answers
     private static final double STALE = 2;              // usual latencies, time constant of trust in a report
-    private static final double SLOW_SMOOTH = 0.25;     // weight of one answer in a server's slowness
     private static final double CROSSING = 10;          // part that a far queue seems longer, per price
     private static final double REPORT_MOST = 1e6;      // requests in hand that a report may name
-    private static final double SLOW_MOST = 4;          // one answer counts no more than this
     // The subset of a balancer, or of a key: as few as sampling needs, more where traffic keeps them in view.
     private static final int SUBSET = 6;
     private static final double SUBSET_VISITS = 1.5;    // s between a balancer's requests to one server
@@ -94,9 +90,7 @@
     private boolean allLookBad;                         // or most of them: the fault is elsewhere
     private boolean noneReached;                        // every server is cut off, or so it seems
     private final boolean[] allFail;                    // the same for each class
-    private final TreeMap<Long, Node> points = new TreeMap<>(); // the ring: listed servers, more by weight
-    private Node[] ring;                                // the same for keys, made when one asks for it
-    private long[] ringAt;
+    private final Ring ring = new Ring();               // of the listed servers, more points by weight
     private Node[] homeRing = {};                       // each server once, from this balancer's point on
     private final long home;                            // where this balancer's subset starts
     private int walk;
@@ -110,6 +104,7 @@
     private final double[] meanWork;                    // moving mean of each class's hints
     private final Shares shares;
     private final Peers peers;
+    private final Capacity capacity;
     private int silentPeers;
     private long tellAt;
     private final long[] firstTry;                      // µs, most time of a first try
@@ -120,6 +115,7 @@
     private final double[] tiers;                       // the distinct worths of requests, ascending
     private final double[] asked;                       // faded arrivals of each tier
     private final double hedgeLevel;                    // above it requests within their share are refused
+    private final double startLevel;                    // what a start turns away
     private double level;                               // tiers turned away, the last of them in part
     private double strain;                              // moving mean of latency / aim
     private int answers;
@@ -157,11 +153,13 @@
         while (tiers[(int) level] < Math.min(inShare, CHEAP * tiers[tiers.length - 1])) {
             level++;
         }
+        this.startLevel = level;
         this.hedgeLevel = Arrays.binarySearch(tiers, inShare) + 0.05;
         this.tick = Math.max(settings.tick(), Math.min(TICK_MOST, shortestAim / 16));
         this.firstTry = new long[usual.length];
         this.shares = new Shares(settings, random);
         this.peers = new Peers(settings);
+        this.capacity = new Capacity(settings);
         this.silentPeers = settings.balancers() - 1;
     }
 
@@ -215,8 +213,8 @@
         double relative = n.server.weight() / meanWeight;
         double trust = n.reportedAt > 0 ? Math.exp(-(now - n.reportedAt) / (STALE * shortestUsual)) : 0;
         double inferred = relative * ownMean * silentPeers / Math.max(1, listed.size());
-        double told = peers.elsewhere(n) + slowness(n, now) * inferred;
-        return told + trust * (slowness(n, now) * n.reported - told);
+        double told = peers.elsewhere(n) + n.slowness(now) * inferred;
+        return told + trust * (n.slowness(now) * n.reported - told);
     }
 
     // ---------------------------------------------------------------- exceptions: who is a candidate
@@ -233,17 +231,8 @@
         double visits = settings.prices().handshake() > 0 ? DEAR_VISITS : SUBSET_VISITS;
         int wanted = (int) (keyed ? Math.max(KEY_SUBSET, KEY_SPREAD * heat(r.key) * listed.size())
             : Math.max(SUBSET, rate * visits));
-        Node[] order = homeRing;
-        int from = 0;
-        if (keyed) {
-            if (ring == null) {
-                ring = points.values().toArray(new Node[0]);
-                ringAt = points.keySet().stream().mapToLong(Long::longValue).toArray();
-            }
-            order = ring;
-            from = Arrays.binarySearch(ringAt, Hashing.mix(r.key));
-            from = from < 0 ? -from - 1 : from;
-        }
+        Node[] order = keyed ? ring.order() : homeRing;
+        int from = keyed ? ring.first(Hashing.mix(r.key)) : 0;
         walk++;
         boolean near = !keyed && settings.prices().crossZone() > settings.prices().handshake();
         for (int i = 0, warm = 0, met = 0; i < order.length && warm < wanted && met < REACH * wanted; i++) {
@@ -308,6 +297,17 @@
         return n.unreached >= CUT_OFF && !noneReached;
     }
 
+    // Another balancer of this zone can't connect to it. Guards against a lost zone that each finds by
+    // itself: at thin traffic that took two failed attempts a server, and seconds. Who found it tries it.
+    private void saidLost(Node n, long now) {
+        if (n.saidLost || n.unreached < CUT_OFF && now - n.lastOk > EJECT_FIRST) {
+            n.saidLost = true;
+            n.unreached = CUT_OFF;
+            n.trial = TRIALS_OK;
+            n.ejectedUntil = now + EJECT_FIRST + random.nextLong(EJECT_FIRST);
+        }
+    }
+
     // Rule 5: whether all earlier requests of the key are over, and what they left may no longer run.
     private static boolean hasTurn(Request r, long now) {
         return r.turn == null
@@ -372,6 +372,9 @@
         }
         warmRate = weight <= 0 ? 0 : perSecond(oks, now) / weight;
         allLookBad = mostLookBad(now);
+        capacity.inReach(listed.size(), listed.stream().mapToDouble(n ->
+            cutOff(n) || n.ejectedUntil > now && !allLookBad ? 0 : warmth(n, now) * n.server.weight()).sum()
+            / Math.max(1e-9, listed.size() * meanWeight));
         silentPeers = peers.silent(now);
         for (int i = 0; i < allFail.length; i++) {
             allFail[i] = Health.mostRest(listed, i, now);
@@ -400,6 +403,7 @@
             keyCounts.merge(Hashing.hash(key), scale, Double::sum);
         }
         arrivals += resubmission ? 0 : 1;
+        capacity.request();
         long aim = kind.aim() + (work > 0 ? (long) (kind.aimStretch() * work) : 0);
         Request r = new Request(id, requestClass, kind, key == null ? 0 : Hashing.hash(key), now, timeLeft,
             now + aim - spent(requestClass, timeLeft, resubmission), shares.over(tenant, resubmission, now));
@@ -457,6 +461,21 @@
         // Over-share traffic returns slowly: what crowding costs outweighs a cheap request.
         step = step > 0 ? step : step * (worth < CHEAP ? worth : RETURN);
         level = answers == 0 ? level : Math.max(0, Math.min(tiers.length - 0.05, level + step));
+        if (settings.balancers() == 1 || silentPeers < settings.balancers() - 1) {
+            double rate = capacity.rate() + peers.rate();
+            double most = Math.max(startLevel, levelOf(capacity.most(rate)));
+            level = Math.max(levelOf(capacity.over(rate)), Math.min(level, most));
+        }
+    }
+
+    // The level at which that part of the arrivals is turned away.
+    private double levelOf(double part) {
+        double left = part * Arrays.stream(asked).sum();
+        int tier = 0;
+        while (tier < tiers.length - 1 && left > asked[tier]) {
+            left -= asked[tier++];
+        }
+        return Math.min(tiers.length - 0.05, tier + left / Math.max(1, asked[tier]));
     }
 
     private void strained(double sample, long now) {
@@ -700,30 +719,22 @@
         }
     }
 
-    private static double slowness(Node n, long now) {
-        return 1 + (n.slowness - 1) * Math.exp(-(now - n.slownessAt) / FADE);
-    }
-
-    private static void slowed(Node n, double ratio, long now) {
-        double old = slowness(n, now);
-        n.slowness = old + SLOW_SMOOTH * (Math.min(SLOW_MOST, ratio) - old);
-        n.slownessAt = now;
-    }
-
     private void learn(Attempt a, Outcome outcome, long latency, long now, Actions out) {
         Node n = a.node;
         RequestClass kind = a.request.kind;
         int number = a.request.number;
         double usually = usual[number] * a.request.size;
-        n.unreached = outcome == Outcome.CONNECT_FAILED ? n.unreached + 1
-            : outcome == Outcome.NOT_SENT || outcome == Outcome.CANCELLED ? n.unreached : 0;
+        if (outcome != Outcome.NOT_SENT && outcome != Outcome.CANCELLED) {
+            n.unreached = outcome == Outcome.CONNECT_FAILED ? n.unreached + 1 : 0;
+            n.saidLost = false;
+        }
         switch (outcome) {
             case OK -> {
                 n.oks += scale;
                 n.lastOk = now;
                 n.fulls = 0;
                 a.health.served(() -> remark(now, "recovered " + n.server.id() + ", class " + number, out));
-                slowed(n, latency / usually, now);
+                n.slowed(latency / usually, now);
                 usual[number] += SMOOTH * (latency - usual[number]);
                 if (n.trial > 0 && --n.trial == 0) {
                     n.ejections = 0;
@@ -735,7 +746,7 @@
             case CANCELLED -> {         // the copy came first, or the client left
                 if (latency > 2 * usually) {    // its server may well be at it still
                     failed(n, 0, (long) (2 * usual[number]), now, out);
-                    slowed(n, Math.max(slowness(n, now), latency / usually), now);
+                    n.slowed(Math.max(n.slowness(now), latency / usually), now);
                 }
             }
             case NOT_SENT -> { }
@@ -750,7 +761,7 @@
             }
             // A time-out may be the fault of the load: it takes more of them.
             case TIMEOUT -> {
-                slowed(n, latency / usually, now);
+                n.slowed(latency / usually, now);
                 strained(STRAIN_MOST, now);
                 failed(n, 0.5, (long) (2 * usual[number]), now, out);
             }
@@ -791,7 +802,7 @@
 
     @Override
     public void peerMessage(long now, int from, byte[] data, Actions out) {
-        if (!peers.heard(now, from, data, listed)) {
+        if (!peers.heard(now, from, data, listed, n -> saidLost(n, now))) {
             remark(now, "passed over a message of balancer " + from, out);
         }
     }
@@ -817,6 +828,7 @@
         turnedAway *= keep;
         fade(asked, keep);
         shares.fade(now - fadedAt);
+        capacity.fade(now - fadedAt);
         if (now >= refreshAt) {
             refresh(now);
         }
@@ -840,7 +852,8 @@
             ask(now, out);
         }
         if (peers.speaks() && now >= tellAt) {
-            out.tell(-1, peers.message(listed, now));
+            List<Node> lost = listed.stream().filter(n -> cutOff(n) && !n.saidLost).toList();
+            out.tell(-1, peers.message(listed, lost, capacity.rate(), now));
             tellAt = now + (long) (peers.every(perSecond(arrivals, now)) * (0.75 + random.nextDouble() / 2));
         }
         wakeBy(now, open.isEmpty() ? REFRESH : tick, out);
@@ -921,7 +934,7 @@
         Node n = nodes.get(s.id());
         if (n == null || n.server.startedAt() != s.startedAt() && s.startedAt() > 0) {
             if (n != null) {
-                setPoints(n, 0);
+                ring.place(n, 0);
             }
             n = new Node(s, random.nextInt(), usual.length);
             n.tokens = random.nextDouble();
@@ -932,28 +945,14 @@
         n.server = s;
     }
 
-    // Puts the servers on the ring at points that follow from their ids: a change of the list moves few, and
-    // only those are touched. Made anew at each step of a deploy, the ring cost more than all requests.
     private void arrange() {
         meanWeight = listed.stream().mapToDouble(n -> n.server.weight()).average().orElse(1);
         for (Node n : nodes.values()) {
             double share = POINTS * n.server.weight() / meanWeight;
             int many = (int) Math.max(1, Math.min(8 * POINTS, Math.round(share)));
-            setPoints(n, n.server.state() == State.UP ? many : 0);
-        }
-        ring = null;
-        walk++;
-        homeRing = Stream.of(points.tailMap(home), points.headMap(home)).flatMap(m -> m.values().stream())
-            .filter(n -> n.walk != walk).peek(n -> n.walk = walk).toArray(Node[]::new);
-    }
-
-    private void setPoints(Node n, int many) {
-        while (n.points < many) {
-            points.put(Hashing.mix(n.hash + n.points++), n);
-        }
-        while (n.points > many) {
-            points.remove(Hashing.mix(n.hash + --n.points), n);
+            ring.place(n, n.server.state() == State.UP ? many : 0);
         }
+        homeRing = ring.eachOnce(home);
     }
 
     // The paper's p: the share of servers of the kinds whose mean weight is above the mean of all.
--- a/src/main/java/junctionhead/Books.java
+++ b/src/main/java/junctionhead/Books.java
@@ -13,6 +13,10 @@
 
     /** A server, as this balancer sees it. */
     static final class Node {
+        private static final double SLOW_FADE = 10e6;   // µs, time constant of the memory of slowness
+        private static final double SLOW_SMOOTH = 0.25; // weight of one answer in it
+        private static final double SLOW_MOST = 4;      // one answer counts no more than this
+
         Server server;
         final Health[] classes;                         // by the number of the class
         final long hash;
@@ -23,8 +27,8 @@
         int inFlight;
         double reported;                                // requests in hand, by its last report
         long reportedAt;                                // 0 = none yet
-        double slowness = 1;                            // moving mean of latency / usual latency
-        long slownessAt;
+        private double slowness = 1;                    // moving mean of latency / usual latency
+        private long slownessAt;
         final ArrayDeque<Attempt> sent = new ArrayDeque<>(); // oldest first; ended ones are dropped lazily
         final ArrayDeque<Long> penalties = new ArrayDeque<>(); // until when failed attempts keep their slots
         double oks;                                     // faded
@@ -32,6 +36,7 @@
         long lastOk;
         int fulls;                                      // attempts turned away since one was served
         int unreached;                                  // failed connects since one came up
+        boolean saidLost;                               // by another balancer, not found so by this one
         long ejectedUntil;
         int ejections;
         long fullUntil;                                 // turned an attempt away: rests for a moment
@@ -46,6 +51,17 @@
             this.order = order;
         }
 
+        /** How many times the usual its latency is; without news that fades to 1. */
+        double slowness(long now) {
+            return 1 + (slowness - 1) * Math.exp(-(now - slownessAt) / SLOW_FADE);
+        }
+
+        void slowed(double ratio, long now) {
+            double old = slowness(now);
+            slowness = old + SLOW_SMOOTH * (Math.min(SLOW_MOST, ratio) - old);
+            slownessAt = now;
+        }
+
         /** The attempt that has been out for longest, or null. */
         Attempt oldest() {
             while (!sent.isEmpty() && !sent.peekFirst().out) {
--- a/src/test/java/junctionhead/FleetTest.java
+++ b/src/test/java/junctionhead/FleetTest.java
@@ -5,6 +5,7 @@
 import java.util.Collections;
 import java.util.List;
 import java.util.function.Predicate;
+import java.util.stream.IntStream;
 import junctionhead.Policy.Discovery;
 import junctionhead.Policy.Effect;
 import junctionhead.Policy.ListKind;
@@ -126,4 +127,71 @@
         long sent = harness.sentTo("s1", from);
         assertTrue(sent >= 3 && sent <= 8, "it is tried now and then: " + sent);
     }
+
+    /** One of fourteen, that hears the others and reaches sixty servers. */
+    private static Harness hearing() {
+        Policy.Settings base = Harness.settings(14, true, Discovery.PUSH, TENANTS, UNSAFE);
+        Policy.Limits limits = new Policy.Limits(5, true, true, true, 250_000, 0, true);
+        return new Harness(new Policy.Settings(14, 0, 0, base.classes(), base.tenants(),
+            base.overShareWorth(), base.goal(), base.prices(), base.worthByWork(), base.discovery(),
+            base.reports(), base.warmKeys(), limits, base.bounds(), base.tick()), 5)
+            .list(ListKind.PERSISTED, Harness.fleet(60));
+    }
+
+    /** Brings 100 requests a second while another balancer tells of {@code others} and of lost servers. */
+    private static long refusedOf(Harness harness, double seconds, int others, int lost, long latency) {
+        long refused = 0;
+        List<Integer> codes = IntStream.range(0, lost)
+            .mapToObj(i -> PeerMessage.code(Hashing.hash("s" + i))).toList();
+        for (int i = 0; i < 2 * seconds; i++) {
+            byte[] told = new PeerMessage(0, others, List.of(), List.of(), codes).encode();
+            harness.policy.peerMessage(harness.now, 1, told, harness);
+            refused += bring(harness, 100, 0.5, latency);
+        }
+        return refused;
+    }
+
+    @Test
+    void whatServersInReachCannotCarryIsRefusedBeforeAnswersAreLate() {
+        // With two thirds of the servers lost refusal began when the first answers came late, seconds after.
+        Harness harness = hearing();
+        assertTrue(refusedOf(harness, 4, 1_100, 0, 20_000) < 60, "all in reach");
+        harness.pass(1_100_000);
+        refusedOf(harness, 0.5, 1_100, 40, 20_000);
+        long refused = refusedOf(harness, 1, 1_100, 40, 20_000);
+        assertTrue(refused > 45 && refused < 75, "56 of 100 are more than can be carried: " + refused);
+        harness.pass(2_500_000);
+        refusedOf(harness, 0.5, 1_100, 0, 20_000);
+        refused = refusedOf(harness, 1, 1_100, 0, 20_000);
+        assertTrue(refused < 20, "back in reach: " + refused);
+    }
+
+    @Test
+    void lateAnswersAloneDoNotTurnAwayWhatTheServersInReachCanCarry() {
+        // Balancers just back met late answers, and turned 95% away for four seconds after queues were gone.
+        Harness harness = hearing();
+        refusedOf(harness, 4, 300, 0, 20_000);
+        long refused = refusedOf(harness, 10, 300, 0, 2_000_000);
+        assertTrue(refused < 40, "a third of what is promised comes: " + refused + " of 1000 refused");
+    }
+
+    @Test
+    void aServerThatOthersOfTheZoneCannotConnectToIsLeftOutUnlessItAnswersHere() {
+        Harness harness = hearing();
+        bring(harness, 100, 2, 20_000);
+        harness.pass(1_100_000);
+        refusedOf(harness, 0.5, 0, 40, 20_000);
+        long from = harness.now;
+        refusedOf(harness, 2, 0, 40, 20_000);
+        long sent = harness.sends.stream().filter(s -> s.at >= from
+            && Integer.parseInt(s.server.substring(1)) < 40).count();
+        assertTrue(sent == 0, sent + " sent to lost ones");
+        harness.pass(2_500_000);
+        bring(harness, 100, 2, 20_000);
+        long since = harness.now;
+        bring(harness, 100, 2, 20_000);
+        refusedOf(harness, 1, 0, 40, 20_000);
+        assertTrue(harness.sends.stream().anyMatch(s -> s.at >= since
+            && Integer.parseInt(s.server.substring(1)) < 40), "those that answer stay in use");
+    }
 }
