Count clients' requests as rehearsed: a start went on rehearsing beside them for seconds

Clients come as soon as one listens, as the front has not noticed that it was gone; so eight rehearsed requests at a time stood before each of theirs. Ruled out: waiting for discovery (the list of before the end makes a balancer ready), and the start of the virtual machine.

Change: each request that a client has brought stands for one of the 40, and two at a time are rehearsed, not eight.

The new test fails without it.

--- a/src/main/java/junctionhead/net/Dispatcher.java
+++ b/src/main/java/junctionhead/net/Dispatcher.java
@@ -165,6 +165,11 @@
         }
     }
 
+    /** Requests taken since the start. */
+    long taken() {
+        return taken;
+    }
+
     /** Takes a request, for one final answer; returns whom to tell what the client does before it. */
     Taken take(Order order, Reply reply) {
         String id = Long.toString(++taken, Character.MAX_RADIX);
--- a/src/main/java/junctionhead/net/Node.java
+++ b/src/main/java/junctionhead/net/Node.java
@@ -198,7 +198,7 @@
     // At an inherited socket the process that this one takes over from would answer.
     private void rehearse(InetSocketAddress at) {
         LocalAddress inside = shared ? new LocalAddress("rehearsal") : null;
-        Rehearsal rehearsal = new Rehearsal(loop, config, inside, () -> {
+        Rehearsal rehearsal = new Rehearsal(loop, config, inside, dispatcher::taken, () -> {
             rehearsed = true;
             clients.rehearse(null);
             readyIfSo();
--- a/src/main/java/junctionhead/net/Rehearsal.java
+++ b/src/main/java/junctionhead/net/Rehearsal.java
@@ -9,6 +9,7 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.concurrent.TimeUnit;
+import java.util.function.LongSupplier;
 import junctionhead.Balance;
 import junctionhead.Policy;
 import junctionhead.SettingsReader;
@@ -27,7 +28,7 @@
     // The first ones load and link what a request needs. More of them compile it too, which takes as long
     // whoever pays for it; but while a rehearsal lasts nobody is served.
     private static final int REQUESTS = 40;
-    private static final int AT_ONCE = 8;
+    private static final int AT_ONCE = 2;           // real requests, where they come already, go between
     private static final int DECLINED = 3;          // every third is turned away in the last part
     private static final int SERVERS = 8;
     private static final long MOST_MS = 4_000;      // where the machine is busy
@@ -35,6 +36,7 @@
 
     private final EventLoop loop;
     private final SettingsReader.Boot boot;
+    private final LongSupplier real;
     private final Runnable then;
     private final Dispatcher dispatcher;
     private final Upstreams back;
@@ -46,11 +48,13 @@
 
     /**
      * {@code then} runs on the loop when it is over. Where {@code inside} is not null the requests go through
-     * that address within this process: at the node's own another process may answer.
+     * that address within this process: at the node's own another process may answer. {@code real} tells how
+     * many requests clients have brought: each stands for one of the rehearsal, which only keeps it waiting.
      */
-    Rehearsal(EventLoop loop, Config config, LocalAddress inside, Runnable then) {
+    Rehearsal(EventLoop loop, Config config, LocalAddress inside, LongSupplier real, Runnable then) {
         this.loop = loop;
         this.boot = config.boot();
+        this.real = real;
         this.then = then;
         Policy policy = new Balance(boot.settings(), config.seed());
         Metrics metrics = new Metrics(boot.classes());
@@ -90,7 +94,10 @@
     }
 
     private void next() {
-        if (begun >= REQUESTS) {
+        if (over || begun + real.getAsLong() >= REQUESTS) {
+            if (ended == begun) {
+                end();
+            }
             return;
         }
         int number = begun++ % boot.classes().size();
@@ -105,9 +112,7 @@
         Order order = new Order(method, PATH, headers, body, number, 0, null, WAIT, -1, false);
         front.send("rehearsal-0", order, WAIT, (outcome, answer, load) -> {
             ended++;
-            if (ended >= REQUESTS) {
-                end();
-            } else if (!over) {
+            if (!over) {
                 loop.execute(this::next);
             }
         });
@@ -116,7 +121,6 @@
     private void end() {
         if (!over) {
             over = true;
-            begun = REQUESTS;
             dispatcher.retire();
             front.close();
             back.close();
