--- a/src/main/java/junctionhead/net/Rehearsal.java
+++ b/src/main/java/junctionhead/net/Rehearsal.java
@@ -26,8 +26,8 @@
     static final String PATH = "/-/rehearsal";
     static final String HOP = "/-/rehearsed";
 
-    // Enough to have what a request needs compiled, where nobody waits: after 40 alone two balancers on half a
-    // core each were late with 8% of the first seconds' requests.
+    // Enough to have what a request needs compiled, where nobody waits: after 40 alone two balancers on half
+    // a core each were late with 8% of the first seconds' requests.
     private static final int REQUESTS = 300;
     // Where clients are at work already, this balancer is missing: the first ones load and link.
     private static final int REQUESTS_HURRIED = 40;
