--- a/src/main/java/junctionhead/Balance.java
+++ b/src/main/java/junctionhead/Balance.java
@@ -832,7 +832,7 @@
         scale /= Math.max(keep, 1 / GAIN_MOST);
         arrivals *= keep;
         turnedAway *= keep;
-        fade(asked, keep);
+        Arrays.setAll(asked, i -> asked[i] * keep);
         shares.fade(now - fadedAt);
         capacity.fade(now - fadedAt);
         if (now >= refreshAt) {
@@ -877,12 +877,6 @@
         }
     }
 
-    private static void fade(double[] counts, double keep) {
-        for (int i = 0; i < counts.length; i++) {
-            counts[i] *= keep;
-        }
-    }
-
     // Rule 1: answers held requests in time, new ones as soon as they can't be answered within their aim.
     private void sweep(Request r, long now, Actions out) {
         long until = r.deadline - 2 * tick;
