Duties: leases by majority, explored, simulated and played by real processes; off by default

Need: some things are to be done by one balancer, without ever being done by two, and without a hole when that one dies.

Change: package duties, a pure state machine on membership's view: slots of keys by rendezvous hashing, nine voters each, sounding before asking, grants of 2 s counted from the asking with a tenth as margin, promises synced before they are told, no grant for a lease after a start, passing on in order at SIGTERM. DutyLink drives it, FleetRecord is the first duty. The lab gets an explorer that walks (the search of members' explorer is shared), duties in simulated time, and a history of acts as a property of runs.

The explorer found a promise told before it was kept, mended here.

--- a/balancer/src/main/java/junctionhead/net/MemberLink.java
+++ b/balancer/src/main/java/junctionhead/net/MemberLink.java
@@ -14,7 +14,7 @@
 /**
  * Drives {@link Membership} on the event loop: gives it time and the peers' messages, sends what it wants
  * sent
- * and tells the log what has changed. Nothing of a request waits for it, and so far nothing uses its view.
+ * and tells the log, and whoever goes by it, what has changed. Nothing of a request waits for it.
  */
 final class MemberLink {
     private static final int LINES_MOST = 20;               // a second
@@ -27,6 +27,7 @@
     private final EventLoop loop;
     private final Sender sender;
     private final Consumer<String> log;
+    private final Consumer<View> watcher;
     private final Membership members;
     private Future<?> timer;
     private long timerAt;
@@ -35,15 +36,20 @@
     private boolean passedOver;
     private boolean left;
 
-    /** {@code self} of {@code size} members; {@code incarnation} is the wall clock's ms, or a later one. */
-    MemberLink(EventLoop loop, int self, int size, long incarnation, Sender sender, Consumer<String> log) {
+    /**
+     * {@code self} of {@code size} members; {@code incarnation} is the wall clock's ms, or a later one;
+     * {@code watcher} gets each new view, on the loop.
+     */
+    MemberLink(EventLoop loop, int self, int size, long incarnation, Sender sender, Consumer<String> log,
+            Consumer<View> watcher) {
         this.loop = loop;
         this.sender = sender;
         this.log = log;
+        this.watcher = watcher;
         this.members = new Membership(self, size, Timing.USUAL, incarnation, now());
     }
 
-    private static long now() {
+    static long now() {
         return System.nanoTime() / 1000;
     }
 
@@ -101,6 +107,7 @@
                 sender.tell(send.to(), send.message().encode());
             } else if (act instanceof Membership.Changed changed) {
                 tell(changed.news(), changed.view());
+                watcher.accept(changed.view());
             }
         }
         plan();
--- a/balancer/src/main/java/junctionhead/net/Node.java
+++ b/balancer/src/main/java/junctionhead/net/Node.java
@@ -38,7 +38,7 @@
     private final PeerLink peers;
     private final StateKeeper state;                // null where nothing is kept
     private final Targets known;                    // the newest list from before this start
-    private final MemberLink members;               // null where membership is off
+    private final FleetLink fleet;                  // null where membership is off
     private final ClientServer clients;
     private final Config config;
     private final Descriptors descriptors;
@@ -71,18 +71,26 @@
             this::listed, log);
         clients = new ClientServer(loop, config.boot(), dispatcher, descriptors, upstreams::shedIdle,
             events, budget);
-        peers = new PeerLink(loop, config.peers(), this::heard, events);
-        members = config.membership() && config.boot().settings().rank() < config.peers().all().size()
-            ? new MemberLink(loop,
-            config.boot().settings().rank(), config.peers().all().size(),
-            state == null ? System.currentTimeMillis() : state.incarnation(), peers::tell, log) : null;
+        peers = new PeerLink(loop, config.peers(), new Peers(), events);
+        fleet = FleetLink.of(loop, config, state, peers::tell, log);
         dispatcher.attach(upstreams, discovery, peers);
         admin = config.admin() == null ? null : new AdminServer(new Desk());
     }
 
-    private void heard(int from, byte[] data) {
-        if (members == null || !members.heard(from, data)) {
-            dispatcher.heard(from, data);
+    /** What comes from other balancers, led to whom it concerns. */
+    private final class Peers implements PeerLink.Listener {
+        @Override
+        public void heard(int from, byte[] data) {
+            if (fleet == null || !fleet.heard(from, data)) {
+                dispatcher.heard(from, data);
+            }
+        }
+
+        @Override
+        public void bound() {
+            if (fleet != null) {
+                fleet.opened();
+            }
         }
     }
 
@@ -200,8 +208,8 @@
             listed(Policy.ListKind.PERSISTED, known);
             discovery.start();
             peers.start(log);
-            if (members != null) {
-                members.start();
+            if (fleet != null) {
+                fleet.start();
             }
             loop.scheduleWithFixedDelay(
                 () -> events.summary(() -> dispatcher.summary() + ", " + descriptors + ": " + clients
@@ -299,8 +307,8 @@
         loop.execute(() -> {
             clients.stopping(shared);
             publish();
-            if (members != null) {
-                members.leave();
+            if (fleet != null) {
+                fleet.leave();
             }
             if (shared) {
                 peers.close();                      // the process that takes over wants the address
--- a/balancer/src/main/java/junctionhead/net/PeerLink.java
+++ b/balancer/src/main/java/junctionhead/net/PeerLink.java
@@ -28,6 +28,9 @@
     /** Where a peer's message goes, with the peer's number. */
     interface Listener {
         void heard(int from, byte[] data);
+
+        /** The address is this process's own from now on. */
+        default void bound() { }
     }
 
     private final EventLoop loop;
@@ -107,6 +110,8 @@
             channel = context.channel();
             if (closed) {
                 channel.close();
+            } else {
+                listener.bound();
             }
         }
 
--- a/balancer/src/main/java/junctionhead/net/StateKeeper.java
+++ b/balancer/src/main/java/junctionhead/net/StateKeeper.java
@@ -2,6 +2,7 @@
 
 import com.fasterxml.jackson.jr.ob.JSON;
 import java.io.IOException;
+import java.io.UncheckedIOException;
 import java.nio.channels.FileChannel;
 import java.nio.channels.OverlappingFileLockException;
 import java.nio.charset.StandardCharsets;
@@ -30,10 +31,13 @@
 final class StateKeeper {
     private static final long EVERY_MS = 1_000;
 
+    private final Path folder;
     private final SettingsReader.Boot boot;
     private final Consumer<String> log;
     private final Snapshots snapshots;
     private final Snapshot found;
+    private final Snapshots promises;
+    private final Snapshot promised;
     private final long incarnation;
     private final FileChannel lock;                         // held until the process ends
     private final Map<String, Targets.Target> list = new LinkedHashMap<>();
@@ -49,13 +53,14 @@
     private StateKeeper(Path folder, String owner, SettingsReader.Boot boot, Consumer<String> log,
             FileChannel lock)
             throws IOException {
+        this.folder = folder;
         this.boot = boot;
         this.log = log;
         this.lock = lock;
-        this.snapshots = new Snapshots(new FolderDisk(folder), owner);
-        Snapshots.Recovered recovered = snapshots.recover();
-        recovered.dropped().forEach(what -> log.accept("state: dropped " + what));
-        found = recovered.newest();
+        this.snapshots = new Snapshots(new FolderDisk(folder), owner, "snapshot");
+        this.promises = new Snapshots(new FolderDisk(folder), owner, "promises");
+        found = recovered(snapshots);
+        promised = recovered(promises);
         long now = System.currentTimeMillis();
         incarnation = found == null ? now : Math.max(now, found.incarnation() + 1);
         if (found != null) {
@@ -64,6 +69,17 @@
         }
     }
 
+    private Snapshot recovered(Snapshots from) {
+        Snapshots.Recovered recovered = from.recover();
+        recovered.dropped().forEach(what -> log.accept("state: dropped " + what));
+        return recovered.newest();
+    }
+
+    /** The folder that this process owns. */
+    Path folder() {
+        return folder;
+    }
+
     /** Opens a folder; null, and a line that says why, where it can't be used or another process has it. */
     static StateKeeper open(Path folder, String owner, SettingsReader.Boot boot, Consumer<String> log) {
         FileChannel lock = null;
@@ -99,6 +115,28 @@
         return incarnation;
     }
 
+    /** What was promised to others, in its owner's form; null: nothing that is kept. */
+    byte[] promises() {
+        return promised == null ? null : promised.content();
+    }
+
+    /**
+     * Keeps promises; {@code then} hears on the state's thread whether they survive any loss of power from
+     * now on.
+     */
+    void promise(byte[] content, Consumer<Boolean> then) {
+        write(() -> then.accept(kept(promises, content)));
+    }
+
+    /** Runs on the state's thread, which may wait for the disk. */
+    void write(Runnable work) {
+        try {
+            thread.execute(work);
+        } catch (RejectedExecutionException e) {
+            return;                                         // it ends
+        }
+    }
+
     /** The list as it was kept, where that is newer than what the platform knows; else that. */
     Targets newest(Targets known) {
         if (found == null) {
@@ -143,11 +181,7 @@
         waiting = false;
         long of = rev;
         List<Targets.Target> now = List.copyOf(list.values());
-        try {
-            thread.execute(() -> keep(of, now));
-        } catch (RejectedExecutionException e) {
-            return;                                         // it ends
-        }
+        write(() -> keep(of, now));
     }
 
     private void schedule(Runnable what) {
@@ -160,18 +194,27 @@
 
     private void keep(long of, List<Targets.Target> now) {
         try {
-            byte[] text = JSON.std.asBytes(Map.of("rev", of, "all", true, "targets",
-                now.stream().map(this::entry).toList()));
-            snapshots.keep(System.currentTimeMillis(), incarnation, text);
+            kept(snapshots, JSON.std.asBytes(Map.of("rev", of, "all", true, "targets",
+                now.stream().map(this::entry).toList())));
+        } catch (IOException e) {
+            throw new UncheckedIOException(e);              // of bytes in memory
+        }
+    }
+
+    private boolean kept(Snapshots by, byte[] content) {
+        try {
+            by.keep(System.currentTimeMillis(), incarnation, content);
             if (failing) {
                 failing = false;
                 log.accept("state: kept again");
             }
+            return true;
         } catch (IOException | RuntimeException e) {
             if (!failing) {
                 failing = true;
                 log.accept("state: not kept, the one before still is: " + e.getMessage());
             }
+            return false;
         }
     }
 
--- a/balancer/src/main/java/junctionhead/state/Snapshots.java
+++ b/balancer/src/main/java/junctionhead/state/Snapshots.java
@@ -16,21 +16,29 @@
  * as kept. After a failure nothing is known of what the system still holds, so the next one is a new file.
  */
 public final class Snapshots {
-    private static final Pattern NAME = Pattern.compile("snapshot-(\\d{1,18})");
     private static final String UNFINISHED = "unfinished";
     private static final int KEPT = 2;
 
     private final Disk disk;
     private final String owner;
+    private final String kind;
+    private final Pattern names;
     private long sequence;
 
     /** What was found at a start; {@code newest} is null where nothing whole was. */
     public record Recovered(Snapshot newest, List<String> dropped) { }
 
-    /** {@code owner}: site and name of the balancer; snapshots of another are passed over. */
-    public Snapshots(Disk disk, String owner) {
+    /**
+     * Takes a folder, with snapshots of other kinds beside these.
+     *
+     * @param owner site and name of the balancer; snapshots of another are passed over
+     * @param kind a plain word, of which their names are made
+     */
+    public Snapshots(Disk disk, String owner, String kind) {
         this.disk = disk;
         this.owner = owner;
+        this.kind = kind;
+        this.names = Pattern.compile(Pattern.quote(kind) + "-(\\d{1,18})");
     }
 
     /** Finds the newest whole snapshot; never fails: what can't be read is dropped, and said. */
@@ -38,8 +46,8 @@
         List<String> dropped = new ArrayList<>();
         Snapshot newest = null;
         try {
-            List<String> names = disk.list().stream().filter(n -> NAME.matcher(n).matches())
-                .sorted(Comparator.comparingLong(Snapshots::number).reversed()).toList();
+            List<String> names = disk.list().stream().filter(n -> number(n) >= 0)
+                .sorted(Comparator.comparingLong(this::number).reversed()).toList();
             // Its number alone is enough for no later one to take the same name.
             sequence = names.isEmpty() ? 0 : number(names.get(0));
             for (String name : names) {
@@ -65,8 +73,8 @@
         }
     }
 
-    private static long number(String name) {
-        Matcher m = NAME.matcher(name);
+    private long number(String name) {
+        Matcher m = names.matcher(name);
         return m.matches() ? Long.parseLong(m.group(1)) : -1;
     }
 
@@ -81,7 +89,7 @@
         sequence = next;                                    // used up, whatever becomes of it
         disk.write(UNFINISHED, new Snapshot(next, at, incarnation, owner, content).encode());
         disk.sync(UNFINISHED);
-        disk.rename(UNFINISHED, "snapshot-" + next);
+        disk.rename(UNFINISHED, kind + "-" + next);
         disk.syncFolder();
         for (String name : disk.list()) {
             if (number(name) >= 0 && number(name) <= next - KEPT) {
--- a/balancer/src/test/java/junctionhead/state/SnapshotsTest.java
+++ b/balancer/src/test/java/junctionhead/state/SnapshotsTest.java
@@ -48,7 +48,7 @@
 
         void play(int snapshots) throws IOException {
             CrashDisk disk = new CrashDisk(this::look);
-            Snapshots by = new Snapshots(disk, OWNER);
+            Snapshots by = new Snapshots(disk, OWNER, "snapshot");
             for (begun = 1; begun <= snapshots; begun++) {
                 keeping.keep(by, disk, begun);
                 promised = begun;
@@ -57,7 +57,7 @@
 
         private void look(Map<String, byte[]> folder) {
             folders++;
-            Snapshot found = new Snapshots(CrashDisk.holding(folder), OWNER).recover().newest();
+            Snapshot found = new Snapshots(CrashDisk.holding(folder), OWNER, "snapshot").recover().newest();
             int n = found == null ? 0 : (int) found.at();
             boolean whole = found == null || java.util.Arrays.equals(content(n), found.content());
             if (wrong == null && (!whole || n < promised || n > begun)) {
@@ -141,7 +141,7 @@
     void theNewestDamagedFallsBackToTheOneBeforeAndSaysSo(int at, String flaw, @TempDir Path dir)
             throws IOException {
         FolderDisk disk = new FolderDisk(dir);
-        Snapshots by = new Snapshots(disk, OWNER);
+        Snapshots by = new Snapshots(disk, OWNER, "snapshot");
         by.keep(1, 1, content(1));
         by.keep(2, 1, content(2));
         by.keep(3, 1, content(3));
@@ -149,7 +149,7 @@
         byte[] bytes = Files.readAllBytes(dir.resolve("snapshot-3"));
         bytes[at] ^= 1;
         Files.write(dir.resolve("snapshot-3"), bytes);
-        Snapshots later = new Snapshots(disk, OWNER);
+        Snapshots later = new Snapshots(disk, OWNER, "snapshot");
         Snapshots.Recovered found = later.recover();
         assertEquals(2, found.newest().at());
         assertEquals(List.of("snapshot-3: " + flaw), found.dropped());
@@ -159,10 +159,10 @@
     @Test
     void allDamagedOrAnothersIsAStartWithout(@TempDir Path dir) throws IOException {
         FolderDisk disk = new FolderDisk(dir);
-        new Snapshots(disk, "site/n2").keep(1, 1, content(1));
+        new Snapshots(disk, "site/n2", "snapshot").keep(1, 1, content(1));
         Files.writeString(dir.resolve("snapshot-9"), "");
         Files.writeString(dir.resolve("notes"), "nothing of ours");
-        Snapshots.Recovered found = new Snapshots(disk, OWNER).recover();
+        Snapshots.Recovered found = new Snapshots(disk, OWNER, "snapshot").recover();
         assertNull(found.newest());
         assertEquals(List.of("snapshot-9: short", "snapshot-1: other owner"), found.dropped());
     }
@@ -180,15 +180,15 @@
                 }
                 return method.invoke(inner, arguments);
             });
-        Snapshots by = new Snapshots(disk, OWNER);
+        Snapshots by = new Snapshots(disk, OWNER, "snapshot");
         by.keep(1, 1, content(1));
         by.keep(2, 1, content(2));
         now.add(failing);
         assertThrows(IOException.class, () -> by.keep(3, 1, content(3)));
         now.clear();
-        assertTrue(new Snapshots(inner, OWNER).recover().newest().at() >= 2);
+        assertTrue(new Snapshots(inner, OWNER, "snapshot").recover().newest().at() >= 2);
         by.keep(4, 1, content(4));
-        assertEquals(4, new Snapshots(inner, OWNER).recover().newest().at());
+        assertEquals(4, new Snapshots(inner, OWNER, "snapshot").recover().newest().at());
     }
 
     @Test
--- a/lab/src/main/java/junctionhead/lab/explore/MembersExplorer.java
+++ b/lab/src/main/java/junctionhead/lab/explore/MembersExplorer.java
@@ -2,17 +2,12 @@
 
 import java.util.ArrayList;
 import java.util.Arrays;
-import java.util.Collections;
 import java.util.Comparator;
-import java.util.HashSet;
 import java.util.List;
-import java.util.Set;
-import junctionhead.lab.plan.Seeds;
 import junctionhead.membership.Membership;
 import junctionhead.membership.Message;
 import junctionhead.membership.Status;
 import junctionhead.membership.Timing;
-import org.apache.commons.rng.UniformRandomProvider;
 
 /**
  * Looks at what may happen to a few members of {@link Membership}: messages delivered in any order, lost and
@@ -22,7 +17,7 @@
  * end,
  * all live members must come to hold each other present and the others not.
  */
-public final class MembersExplorer {
+public final class MembersExplorer implements Search.Model<MembersExplorer.World> {
     private static final long STEP = 20_000;                // µs that time moves on by
     private static final long CLOCK = 1_000_000;            // ms
     // messages under way; the oldest beyond it are lost
@@ -33,20 +28,15 @@
     private final int members;
     private final Timing timing;
     private final Fault planted;
-    private final Set<Long> seen = new HashSet<>();
-    private long settled;
 
     /** A mistake built in, to see that it is found. */
     public enum Fault { NONE, FORGETS_ALL, DENIES_NOTHING, DEAD_STAY_DEAD }
 
-    /** What was found; {@code story} is empty where nothing is wrong. */
-    public record Finding(long states, long settled, String wrong, List<String> story) { }
-
     /** A state of the world, and how it was come to. */
-    private record World(Membership[] members, boolean[] down, boolean[] still, List<Flight> flying, long now,
-            int faultsLeft, World from, String step) { }
+    record World(Membership[] members, boolean[] down, boolean[] still, List<Flight> flying, long now,
+            int faultsLeft, World from, String step) implements Search.State<World> { }
 
-    private record Flight(int from, int to, Message message) { }
+    record Flight(int from, int to, Message message) { }
 
     /** {@code timing}: small times make more happen within few steps. */
     public MembersExplorer(int members, Timing timing, Fault planted) {
@@ -62,46 +52,27 @@
      * @param settleEach from one state in so many it is tried whether views come to agree
      */
     public Finding explore(long states, int faults, int settleEach, long seed) {
-        UniformRandomProvider random = Seeds.stream(seed, "explorer");
         Membership[] all = new Membership[members];
         for (int m = 0; m < members; m++) {
             all[m] = new Membership(m, members, timing, CLOCK, 0);
         }
-        List<World> frontier = new ArrayList<>(List.of(new World(all, new boolean[members],
-            new boolean[members], List.of(), 0, faults, null, "all start")));
-        while (!frontier.isEmpty() && seen.size() < states) {
-            // One of the newest as often as any: what takes a member's death is a long way from the start.
-            int last = frontier.size() - 1;
-            Collections.swap(frontier, random.nextBoolean() ? last : random.nextInt(last + 1), last);
-            World world = frontier.remove(last);
-            for (World next : after(world)) {
-                if (!seen.add(fingerprint(next))) {
-                    continue;
-                }
-                String wrong = wentBack(world, next);
-                if (wrong.isEmpty() && seen.size() % settleEach == 0) {
-                    settled++;
-                    wrong = settle(next);
-                }
-                if (!wrong.isEmpty()) {
-                    return new Finding(seen.size(), settled, wrong, story(next));
-                }
-                frontier.add(next);
-            }
-        }
-        return new Finding(seen.size(), settled, "", List.of());
+        return new Search<>(this).explore(new World(all, new boolean[members], new boolean[members],
+            List.of(), 0,
+            faults, null, "all start"), states, settleEach, seed);
     }
 
-    private static List<String> story(World world) {
-        List<String> steps = new ArrayList<>();
-        for (World w = world; w != null; w = w.from) {
-            steps.add(w.now / 1000 + " ms: " + w.step);
-        }
-        Collections.reverse(steps);
-        return steps;
+    @Override
+    public boolean struck(World before, World w) {
+        return w.faultsLeft < before.faultsLeft;
+    }
+
+    @Override
+    public String wrong(World before, World after) {
+        return wentBack(before, after);
     }
 
-    private long fingerprint(World w) {
+    @Override
+    public long fingerprint(World w) {
         long h = w.faultsLeft;
         for (int m = 0; m < members; m++) {
             h = h * 1_000_003 + (w.down[m] ? 1 : w.still[m] ? 2 + w.members[m].fingerprint(w.now)
@@ -117,7 +88,8 @@
 
     // ------------------------------------------------------------ what may happen next
 
-    private List<World> after(World w) {
+    @Override
+    public List<World> after(World w) {
         List<World> next = new ArrayList<>();
         for (int i = 0; i < w.flying.size(); i++) {
             Flight f = w.flying.get(i);
@@ -254,7 +226,8 @@
     }
 
     // No more faults: all goes on, whoever is down stays down, and messages take one step.
-    private String settle(World w) {
+    @Override
+    public String settle(World w) {
         Membership[] all = Arrays.stream(w.members).map(Membership::new).toArray(Membership[]::new);
         List<Flight> flying = new ArrayList<>(w.flying);
         long now = w.now;
--- a/lab/src/main/java/junctionhead/lab/fleet/Run.java
+++ b/lab/src/main/java/junctionhead/lab/fleet/Run.java
@@ -18,6 +18,7 @@
 import junctionhead.lab.measure.Figures;
 import junctionhead.lab.measure.Result;
 import junctionhead.lab.plan.Plan;
+import junctionhead.lab.rules.ActsInOrder;
 import junctionhead.lab.rules.Breach;
 import junctionhead.lab.rules.Call;
 import junctionhead.lab.rules.MembersAgree;
@@ -139,6 +140,9 @@
             all.add(new MembersAgree(s.fleet().balancers(), Math.round(notice * 1e6),
                 plan.faults().stream().noneMatch(f -> f.kind().path())));
         }
+        if (s.expect().dutiesRestS() != null) {
+            all.add(new ActsInOrder(s.expect().dutiesRestS()));
+        }
         s.expect().neverTwo().forEach(one -> all.add(new NeverTwo(one.what(), Pattern.compile(one.takes()),
             Pattern.compile(one.leaves()))));
         return all;
--- a/lab/src/main/java/junctionhead/lab/sim/SimMembers.java
+++ b/lab/src/main/java/junctionhead/lab/sim/SimMembers.java
@@ -41,6 +41,16 @@
     private final List<String> wronged = new ArrayList<>();
     private IntPredicate side = m -> true;                  // of a cut: messages pass within a side only
     private long datagrams;
+    private Rider rider;
+
+    /** What goes by the members' views, and shares their fate and their paths. */
+    interface Rider {
+        /** A process of that member starts. */
+        void started(int member);
+
+        /** It sees that. */
+        void seen(int member, View view);
+    }
 
     /** {@code loss}: the part of the datagrams that never comes. */
     public SimMembers(int count, double loss, long seed) {
@@ -67,15 +77,41 @@
         born[m] = CLOCK + time.now() / 1000;
         members[m] = new Membership(m, members.length, Timing.USUAL, born[m], time.now());
         schedule(m);
+        if (rider != null) {
+            rider.started(m);
+        }
+    }
+
+    /** From now on; it hears of all that run already. */
+    void rides(Rider who) {
+        rider = who;
+        for (int m = 0; m < members.length; m++) {
+            rider.started(m);
+        }
+    }
+
+    Timeline time() {
+        return time;
+    }
+
+    boolean runs(int m) {
+        return !down[m];
     }
 
     private void schedule(int m) {
+        wake(m, members[m].next(), () -> {
+            act(m, members[m].tick(time.now()));
+            schedule(m);
+        });
+    }
+
+    /** Has something happen at that time, or a little late, if this process of the member still runs then. */
+    void wake(int m, long at, Runnable what) {
         int life = lives[m];
         long late = (long) (random.nextDouble() * TICK_LATE);
-        time.at(members[m].next() + late, () -> {
+        time.at(at + late, () -> {
             if (lives[m] == life && !down[m]) {
-                act(m, members[m].tick(time.now()));
-                schedule(m);
+                what.run();
             }
         });
     }
@@ -86,6 +122,9 @@
                 send(from, send);
             } else if (act instanceof Membership.Changed changed) {
                 noted(from, changed);
+                if (rider != null) {
+                    rider.seen(from, changed.view());
+                }
             }
         }
     }
@@ -95,12 +134,17 @@
         bytes[from] += text.length;
         datagrams++;
         int to = send.to();
+        post(from, to, () -> act(to, members[to].heard(time.now(), from, Message.decode(text))));
+    }
+
+    /** What {@code to} does with a datagram, if that comes. */
+    void post(int from, int to, Runnable arrives) {
         if (random.nextDouble() < loss || side.test(from) != side.test(to)) {
             return;
         }
         time.after(DELAY_LEAST + (long) (random.nextDouble() * (DELAY_MOST - DELAY_LEAST)), () -> {
             if (!down[to]) {
-                act(to, members[to].heard(time.now(), from, Message.decode(text)));
+                arrives.run();
             }
         });
     }
@@ -133,6 +177,12 @@
         knownBy[m].clear();
     }
 
+    /** A process says that it leaves, and ends. */
+    public void leave(int m) {
+        act(m, members[m].leave(time.now()));
+        down[m] = true;
+    }
+
     /** It starts again, with an empty memory. */
     public void restart(int m) {
         start(m);
--- a/lab/src/test/java/junctionhead/lab/explore/MembersExplorerTest.java
+++ b/lab/src/test/java/junctionhead/lab/explore/MembersExplorerTest.java
@@ -5,7 +5,6 @@
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import junctionhead.lab.explore.MembersExplorer.Fault;
-import junctionhead.lab.explore.MembersExplorer.Finding;
 import junctionhead.membership.Timing;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
--- a/lab/src/test/java/junctionhead/lab/fleet/RunTest.java
+++ b/lab/src/test/java/junctionhead/lab/fleet/RunTest.java
@@ -22,10 +22,11 @@
         [fleet]
         balancers = 3
         zones = ["a", "b", "c"]
-        environment = { TANSYFERRY_MEMBERSHIP = "on" }
+        environment = { TANSYFERRY_MEMBERSHIP = "on", TANSYFERRY_DUTIES = "on" }
         state_dir = true
         [expect]
         members_notice_within_s = 7
+        duties_rest_s = 10
         [upstreams]
         count = 6
         [load]
@@ -57,17 +58,19 @@
             kind = "kill"
             at_s = 4
             until_s = 11
-            on = "balancers:1"
+            on = "balancers:2"
             """, out, said);
         assertEquals(List.of(), result.breaches(), String.join("\n", said));
-        assertEquals(List.of(1, 2, 1), result.balancers().stream().map(b -> b.lives().size()).toList());
+        assertEquals(List.of(1, 1, 2), result.balancers().stream().map(b -> b.lives().size()).toList());
         assertTrue(result.balancers().stream().flatMap(b -> b.lives().stream()).allMatch(l -> l[1] > l[0]));
         assertTrue(result.figures().get("served_share") > 0.2, result.figures().toString()); // on any machine
         assertTrue(result.balancers().stream().allMatch(b -> b.datagrams() > 0 && b.listCalls() > 0));
         // Its end was known to both others, if it was to be known before it was back.
         assertTrue(result.figures().get("members_noticed_p99_s") <= 7, result.figures().toString());
+        // It held the fleet's record, which another went on with.
+        assertTrue(result.figures().get("duties_passed_on") >= 1, result.figures().toString());
         // It came back with what it had kept, and the others kept serving from theirs.
-        String log = Files.readString(out.resolve("n1.log"));
+        String log = Files.readString(out.resolve("n2.log"));
         assertTrue(log.contains("state: recovered snapshot "), log);
         assertEquals(result.scenario(), Result.read(out).scenario());
         assertEquals(0, ProcessHandle.current().children().filter(ProcessHandle::isAlive).count());
--- a/lab/src/test/java/junctionhead/lab/rules/PropertiesTest.java
+++ b/lab/src/test/java/junctionhead/lab/rules/PropertiesTest.java
@@ -26,6 +26,37 @@
         return rules.breaches().stream().map(Breach::what).toList();
     }
 
+    // ------------------------------------------------------------ acts in order
+
+    private static String act(int epoch, long at) {
+        return "junctionhead: duties: acts for record, epoch " + epoch + ", at " + at;
+    }
+
+    @Test
+    void actsOfTwoHoldersThatOverlapAreFoundByTheirOwnClock() {
+        ActsInOrder acts = new ActsInOrder(3);
+        acts.line(0, 9 * S, act(5, 1 * S));
+        acts.line(1, 4 * S, act(6, 3 * S));
+        acts.line(0, 9 * S, act(5, 2 * S));                 // read late, done in time
+        assertEquals(List.of(), end(acts));
+        assertEquals(1.0, figures.get("duties_passed_on"));
+        acts.line(0, 9 * S, act(5, 4 * S));
+        assertEquals(List.of("n0 acted for record under epoch 5 after n1 under 6"), end(acts));
+        ActsInOrder same = new ActsInOrder(3);
+        same.line(0, 1 * S, act(5, 1 * S));
+        same.line(1, 2 * S, act(5, 2 * S));
+        assertEquals(List.of("n1 acted for record under epoch 5 after n0 under 5"), end(same));
+    }
+
+    @Test
+    void aDutyThatRestsTooLongAndOneThatNobodyDoesAreFound() {
+        ActsInOrder acts = new ActsInOrder(3);
+        assertEquals(List.of("nobody acted"), end(acts));
+        acts.line(0, 1 * S, act(5, 1 * S));
+        acts.line(0, 5 * S, act(5, 5 * S));
+        assertEquals(List.of("nobody acted for 4.0 s, 3.0 are allowed"), end(acts));
+    }
+
     // ------------------------------------------------------------ never two
 
     private final NeverTwo one = new NeverTwo("duty", Pattern.compile("holds (\\w+)"),
