--- a/lab/src/main/java/junctionhead/lab/scenario/Scenario.java
+++ b/lab/src/main/java/junctionhead/lab/scenario/Scenario.java
@@ -183,6 +183,14 @@
         return Math.round(lengthS * 1e6);
     }
 
+    /** The mean work of a request, in µs of a server of speed 1. */
+    public double meanWork() {
+        double shares = classes.stream().mapToDouble(RequestClass::share).sum();
+        return classes.stream().mapToDouble(c -> c.share() * (c.workMs().get(0) + c.workMs().get(1)) / 2)
+            .sum()
+            / shares * 1e3;
+    }
+
     /** Balancer {@code b}'s zone, by its position in {@code fleet.zones}. */
     public int zoneOfBalancer(int b) {
         return b % fleet.zones().size();
--- a/lab/src/main/java/junctionhead/lab/sim/SimServer.java
+++ b/lab/src/main/java/junctionhead/lab/sim/SimServer.java
@@ -137,7 +137,7 @@
         draining = false;
         bootAt = time.now();
         cold = new ColdBudget(scenario.upstreams().overloadFactor(),
-            Math.round(scenario.upstreams().fallS() * 1e6));
+            Math.round(scenario.upstreams().fallS() * 1e6), scenario.meanWork());
         model.boot(bootAt);
     }
 
--- a/lab/src/main/java/junctionhead/lab/stand/ServerStand.java
+++ b/lab/src/main/java/junctionhead/lab/stand/ServerStand.java
@@ -261,7 +261,7 @@
         alive = true;
         draining = false;
         bootAt = now;
-        cold = new ColdBudget(u.overloadFactor(), Math.round(u.fallS() * 1e6));
+        cold = new ColdBudget(u.overloadFactor(), Math.round(u.fallS() * 1e6), world.scenario().meanWork());
         model.boot(now);
         look();
     }
