Balance comes out as named parts: exclusion, warming, refusal, roster; peers' news is bookkeeping

Change: Exclusion, Warming and Refusal (policy) own their state; Roster owns the list and what follows from it alone; Peers no longer decides whom to believe (Balance does) and leaves the policy files as bookkeeping.

--- a/balancer/src/main/java/junctionhead/Peers.java
+++ b/balancer/src/main/java/junctionhead/Peers.java
@@ -6,7 +6,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
-import java.util.function.Consumer;
+import java.util.function.ObjIntConsumer;
 import java.util.stream.IntStream;
 import junctionhead.Books.Node;
 
@@ -65,8 +65,11 @@
         return PeerMessage.code(n.hash);
     }
 
-    /** Takes a message in; false where it is none or nobody's. {@code lost} hears who is said to be lost. */
-    boolean heard(long now, int from, byte[] text, List<Node> listed, Consumer<Node> lost) {
+    /**
+     * Takes a message in; false where it is none or nobody's. {@code lost} hears who is said to be lost, and
+     * from which zone.
+     */
+    boolean heard(long now, int from, byte[] text, List<Node> listed, ObjIntConsumer<Node> lost) {
         PeerMessage message = from < 0 || from >= settings.balancers() || from == settings.rank() ? null
             : PeerMessage.decode(text);
         if (message == null) {
@@ -81,10 +84,9 @@
             listed.stream().filter(n -> code(n) == rest.code() && rest.number() < n.classes.length)
                 .forEach(n -> n.classes[rest.number()].heard(now + rest.left()));
         }
-        // What can't be reached from another zone may well be from this one.
-        if (!message.lost().isEmpty() && message.zone() == (settings.zone() & 255)) {
+        if (!message.lost().isEmpty()) {
             Set<Integer> codes = new HashSet<>(message.lost());
-            listed.stream().filter(n -> codes.contains(code(n))).forEach(lost);
+            listed.stream().filter(n -> codes.contains(code(n))).forEach(n -> lost.accept(n, message.zone()));
         }
         return true;
     }
--- /dev/null
+++ b/balancer/src/main/java/junctionhead/Warming.java
@@ -0,0 +1,64 @@
+package junctionhead;
+
+import java.util.List;
+import junctionhead.Books.Node;
+
+/** Rule 4: a cold server gets its part of what warm ones of like weight take, from nothing on. */
+final class Warming {
+    // Work sent to a cold server, as a share of what a warm one of like weight takes at the same coldness.
+    private static final double MARGIN = 1.6;
+
+    private final Policy.Settings settings;
+    private final double least; // answers per second of a warm server, before any is known
+    private double warmRate;                            // answers per second and weight of warm servers
+
+    Warming(Policy.Settings settings, long shortestAim) {
+        this.settings = settings;
+        // A warm server gives two answers in the shortest aim, to all balancers.
+        this.least = 2e6 / shortestAim / settings.balancers();
+    }
+
+    /** The part of its full speed that a server has by now, 1: it is warm. */
+    double warmth(Node n, long now) {
+        Policy.Bounds b = settings.bounds();
+        long age = now - n.server.startedAt();
+        if (n.server.startedAt() <= 0 || b.rampTime() <= 0 || age >= b.rampTime()) {
+            return 1;
+        }
+        return b.coldFrom() + (1 - b.coldFrom()) * Math.max(0, age) / b.rampTime();
+    }
+
+    /** The part of its full speed that may be asked of a server now. */
+    double usable(Node n, long now) {
+        return Math.min(1, MARGIN * warmth(n, now));
+    }
+
+    boolean hasBudget(Node n, long now) {
+        double part = warmth(n, now);
+        if (part >= 1) {
+            return true;
+        }
+        // Answers per second that a warm server of its weight gives this balancer.
+        double rate = part * MARGIN * Math.max(least, warmRate * n.server.weight());
+        n.tokens = Math.min(Math.max(1, rate * settings.bounds().fallWindow() / 3e6),
+            n.tokens + rate * (now - n.tokensAt) / 1e6);
+        n.tokensAt = now;
+        return n.tokens >= 1;
+    }
+
+    /**
+     * Learns from the answers of warm servers; {@code perAnswer}: answers per second that a faded one stands
+     * for.
+     */
+    void learn(List<Node> listed, double perAnswer, long now) {
+        double oks = 0;
+        double weight = 0;
+        for (Node n : listed) {
+            if (warmth(n, now) >= 1) {
+                oks += n.oks;
+                weight += n.server.weight();
+            }
+        }
+        warmRate = weight <= 0 ? 0 : oks * perAnswer / weight;
+    }
+}
--- a/balancer/src/test/java/junctionhead/LibraryTest.java
+++ b/balancer/src/test/java/junctionhead/LibraryTest.java
@@ -115,12 +115,13 @@
         }
         harness.list(ListKind.COMPLETE, List.of(new Server("c", State.UP, 0, 1, 0, 0, 0)));
         assertEquals(0, size(harness.policy, "open"));
-        assertTrue(size(harness.policy, "nodes") <= 1);
+        assertTrue(size(field(harness.policy, "roster"), "nodes") <= 1);
     }
 
     @Test
     void theReadmeQuotesLogLinesThatTheModuleWrites() throws IOException {
-        String rules = Files.readString(Path.of("src/main/java/junctionhead/Balance.java"));
+        String rules = Files.readString(Path.of("src/main/java/junctionhead/Balance.java"))
+            + Files.readString(Path.of("src/main/java/junctionhead/Exclusion.java"));
         String page = Files.readString(Path.of("../README.md"));
         for (String line : List.of("overload: refusing, level ", "ejected ", " ms after failures",
                 "recovered ", "discovery failed ", " times, asking again")) {
@@ -130,10 +131,14 @@
         }
     }
 
-    private static int size(Object policy, String field) throws ReflectiveOperationException {
-        Field f = policy.getClass().getDeclaredField(field);
+    private static Object field(Object of, String name) throws ReflectiveOperationException {
+        Field f = of.getClass().getDeclaredField(name);
         f.setAccessible(true);
-        Object value = f.get(policy);
+        return f.get(of);
+    }
+
+    private static int size(Object of, String name) throws ReflectiveOperationException {
+        Object value = field(of, name);
         return value instanceof Map ? ((Map<?, ?>) value).size() : ((Collection<?>) value).size();
     }
 }
