Zones as wholes: left within a second, met again in steps; off by default

Need: a lost zone is found server by server, each balancer paying requests for it, and one that is back is met by all at once.

Change: Zones (policy), a state machine of whole, doubted, left and returning zones over tallies of their servers; Balance asks it for candidates, and what is left counts as out of reach for refusal.

--- a/balancer/src/main/java/junctionhead/Balance.java
+++ b/balancer/src/main/java/junctionhead/Balance.java
@@ -1,9 +1,7 @@
 package junctionhead;
 
 import java.util.ArrayList;
-import java.util.Arrays;
 import java.util.Comparator;
-import java.util.HashMap;
 import java.util.Iterator;
 import java.util.LinkedHashMap;
 import java.util.List;
@@ -29,11 +27,9 @@
     // Mechanism. D, A: the paper's defaults. Counts fade so that a slowed server loses its rank in seconds.
     private static final int D = 4;
     private static final int A = 2;
-    private static final double FADE = 10e6;            // µs, time constant of all decaying counts
     private static final double QUICK = 2e6;            // µs, the same for the rate of answers
     private static final double STALE = 2;              // usual latencies, time constant of trust in a report
     private static final double CROSSING = 10;          // part that a far queue seems longer, per price
-    private static final double REPORT_MOST = 1e6;      // requests in hand that a report may name
     // The subset of a balancer, or of a key: as few as sampling needs, more where traffic keeps them in view.
     private static final int SUBSET = 6;
     private static final double SUBSET_VISITS = 1.5;    // s between a balancer's requests to one server
@@ -44,7 +40,6 @@
     private static final double FULL_STRAIN = 1.5;      // that an attempt turned away counts as
     private static final double TIMEOUT_STRAIN = 1.2;   // and one that took too long
     private static final long RETRY_AFTER = 2_000_000;  // µs, for as long as strain lasts
-    private static final double SMOOTH = 0.03;          // weight of one answer in a class's usual latency
     // Further attempts after failures that may have run, per first attempt.
     private static final double RETRY_SHARE = 0.2;
     private static final double BUDGET_MOST = 10;
@@ -54,7 +49,6 @@
     private static final double LATE_WORTH = 0.5;       // a late answer that earns less is given up
     private static final long TICK_MOST = 20_000;       // µs between sweeps while anything is open
     private static final long REFRESH = 100_000;        // µs between looks at all servers
-    private static final double GAIN_MOST = 1e60;       // counts are brought back to scale above it
 
     private static final Comparator<Node> BY_ACCOMPLISHMENT =
         Comparator.<Node>comparingDouble(n -> -n.count).thenComparingInt(n -> n.order);
@@ -67,55 +61,48 @@
     private final boolean[] allFail;                    // most rest for this class: the fault is elsewhere
     private int walk;
     private final Map<String, Request> open = new LinkedHashMap<>();
-    private final Map<Long, Double> keyCounts = new HashMap<>(); // faded requests of each key
+    private final Counts counts = new Counts();
     private final Map<Long, Turn> turns = new LinkedHashMap<>();
-    // in share, over share
-    private final List<List<Request>> held = List.of(new ArrayList<>(), new ArrayList<>());
-    private final double[] usual;                       // µs, moving mean latency of each class
-    private final double[] meanWork;                    // moving mean of each class's hints
+    private final Held held = new Held(this::latestStart);
     private final Roster roster;
     private final Exclusion exclusion;
     private final Warming warming;
     private final Refusal refusal;
+    private final Zones zones = new Zones();
+    private final boolean judgesZones;                  // else all are whole
+    private final Latencies latencies;
+    private final Subscription subscription;
     private final Shares shares;
     private final Peers peers;
     private final Capacity capacity;
     private int silentPeers;
     private long tellAt;
-    private final long[] firstTry;                      // µs, most time of a first try
     private double ownMean;                             // moving mean of own attempts in flight
-    private double shortestUsual;                       // µs, the least of the classes' usual latencies
     private int inFlight;
-    private double turnedAway;                          // faded attempts that no server took
-    private double arrivals;
     private double retryBudget = BUDGET_MOST;
-    private long fadedAt;
-    private long startedAt;
-    private double scale = 1;                           // of servers' counts: it grows, they don't fade
     private long refreshAt;
     private long wakeAt = Long.MAX_VALUE;
-    private long askAt = Long.MAX_VALUE;                // when to subscribe (again)
-    private int askFailures;
     private long remarkAt;
 
     public Balance(Settings settings, long seed) {
+        this(settings, seed, false);
+    }
+
+    /** {@code zones}: zones are left and met again as wholes. */
+    public Balance(Settings settings, long seed, boolean zones) {
         this.settings = settings;
         this.random = new SplittableRandom(seed);
-        this.usual = new double[settings.classes().size()];
-        for (int i = 0; i < usual.length; i++) {
-            usual[i] = settings.classes().get(i).aim() / 4.0;
-        }
-        this.meanWork = new double[usual.length];
-        this.allFail = new boolean[usual.length];
+        this.latencies = new Latencies(settings.classes());
+        this.allFail = new boolean[settings.classes().size()];
         this.shortestAim = settings.classes().stream().mapToLong(RequestClass::aim).min().getAsLong();
-        this.shortestUsual = Arrays.stream(usual).min().getAsDouble();
         this.anySafe = settings.classes().stream().anyMatch(c -> c.effect() == Effect.SAFE);
         this.tick = Math.max(settings.tick(), Math.min(TICK_MOST, shortestAim / 16));
-        this.firstTry = new long[usual.length];
         this.roster = new Roster(settings, random);
-        this.exclusion = new Exclusion(random, usual, tick);
+        this.exclusion = new Exclusion(random, latencies, tick);
         this.warming = new Warming(settings, shortestAim);
         this.refusal = new Refusal(settings);
+        this.judgesZones = zones;
+        this.subscription = new Subscription(settings.bounds().askWithin(), random);
         this.shares = new Shares(settings, random);
         this.peers = new Peers(settings);
         this.capacity = new Capacity(settings);
@@ -171,7 +158,8 @@
     // balancer has in a server on average, in the ratio of this server's latency. Old news fades to the mean.
     private double others(Node n, long now) {
         double relative = n.server.weight() / roster.meanWeight();
-        double trust = n.reportedAt > 0 ? Math.exp(-(now - n.reportedAt) / (STALE * shortestUsual)) : 0;
+        double trust = n.reportedAt > 0 ? Math.exp(-(now - n.reportedAt) / (STALE * latencies.shortest()))
+            : 0;
         double inferred = relative * ownMean * silentPeers / Math.max(1, roster.listed().size());
         double told = peers.elsewhere(n) + n.slowness(now) * inferred;
         return told + trust * (n.slowness(now) * n.reported - told);
@@ -186,10 +174,11 @@
     private List<Node> candidates(Request r, long now) {
         List<Node> fresh = new ArrayList<>();
         List<Node> tried = new ArrayList<>();
-        double rate = arrivals / FADE * 1e6;
+        double rate = counts.rate();
         boolean keyed = settings.warmKeys() && r.key != 0 && rate * SUBSET_VISITS >= roster.listed().size();
         double visits = settings.prices().handshake() > 0 ? DEAR_VISITS : SUBSET_VISITS;
-        int wanted = (int) (keyed ? Math.max(KEY_SUBSET, KEY_SPREAD * heat(r.key) * roster.listed().size())
+        int wanted = (int) (keyed ? Math.max(KEY_SUBSET,
+            KEY_SPREAD * counts.heat(r.key) * roster.listed().size())
             : Math.max(SUBSET, rate * visits));
         Node[] order = keyed ? roster.ring().order() : roster.homeRing();
         int from = keyed ? roster.ring().first(Hashing.mix(r.key)) : 0;
@@ -203,7 +192,8 @@
             n.walk = walk;
             if (r.kind.permits(n.server) && mayRunOn(r, n, now) && warming.hasBudget(n, now)
                     && (allFail[r.number] || n.classes[r.number].admits(now))
-                    && exclusion.admits(n, r, anySafe, now)) {
+                    && exclusion.admits(n, r, anySafe, now)
+                    && zones.admits(n, r, r.kind.effect() != Effect.UNSAFE, now)) {
                 (r.wasSentTo(n) ? tried : fresh).add(n);
                 int counts = warming.warmth(n, now) >= 1 ? 1 : 0;
                 met += counts;
@@ -213,12 +203,6 @@
         return fresh.isEmpty() ? tried : fresh;
     }
 
-    // The part of this balancer's requests that concern the key. Guards against a hot key: four servers
-    // of fifty took a seventh of all requests, and the larger the fleet the smaller a part four are.
-    private double heat(long key) {
-        return Math.max(0, keyCounts.getOrDefault(key, 0.0) / scale - 1) / Math.max(1, arrivals);
-    }
-
     @Override
     public int avoided(long now) {
         return (int) roster.listed().stream().filter(n -> n.ejectedUntil > now).count();
@@ -253,24 +237,25 @@
 
     // What needs a look at all servers. Guards against work for each wake that grows with the fleet: with
     // counts that faded at each wake a balancer of 200 servers spent more on its sleep than on requests.
-    private void refresh(long now) {
+    private void refresh(long now, Actions out) {
         List<Node> listed = roster.listed();
-        warming.learn(listed, perSecond(1, now) / scale, now);
+        warming.learn(listed, counts.perServed(now), now);
         exclusion.look(listed, now);
         capacity.inReach(listed.size(), listed.stream().mapToDouble(n ->
-            exclusion.isOut(n, now) ? 0 : warming.usable(n, now) * n.server.weight()).sum()
+            exclusion.isOut(n, now) ? 0 : zones.of(n.server.zone()).part * warming.usable(n,
+            now) * n.server.weight()).sum()
             / Math.max(1e-9, listed.size() * roster.meanWeight()));
         silentPeers = peers.silent(now);
+        if (judgesZones) {
+            zones.look(roster.tallies(n -> exclusion.isSilent(n, now), zone -> zones.newsFrom(zone, now)),
+                now,
+                out::remark);
+        }
         for (int i = 0; i < allFail.length; i++) {
             allFail[i] = Health.mostRest(listed, i, now);
         }
         turns.values().removeIf(t -> t.line.isEmpty() && now >= t.restUntil);
-        keyCounts.values().removeIf(count -> count < scale / 2);
-        if (scale > GAIN_MOST) {
-            roster.rescale(scale);
-            keyCounts.clear();
-            scale = 1;
-        }
+        counts.tidy(roster);
         refreshAt = now + REFRESH;
     }
 
@@ -281,18 +266,17 @@
             long work, boolean resubmission, Actions out) {
         RequestClass kind = settings.classes().get(requestClass);
         if (settings.warmKeys() && key != null && !resubmission) {
-            keyCounts.merge(Hashing.hash(key), scale, Double::sum);
+            counts.keyed(Hashing.hash(key));
         }
-        arrivals += resubmission ? 0 : 1;
+        counts.arrived(resubmission ? 0 : 1);
         capacity.request();
         long aim = kind.aim() + (work > 0 ? (long) (kind.aimStretch() * work) : 0);
         Request r = new Request(id, requestClass, kind, key == null ? 0 : Hashing.hash(key), now, timeLeft,
-            now + aim - spent(requestClass, timeLeft, resubmission), shares.over(tenant, resubmission, now));
+            now + aim - latencies.spent(requestClass, timeLeft, resubmission),
+            shares.over(tenant, resubmission, now));
         open.put(id, r);
         if (work > 0) {
-            double mean = meanWork[requestClass];
-            meanWork[requestClass] += (mean > 0 ? SMOOTH : 1) * (work - mean);
-            r.size = 1 + HINTED * (work / meanWork[requestClass] - 1);
+            r.size = 1 + HINTED * (latencies.hinted(requestClass, work) - 1);
         }
         wakeBy(now, tick, out);
         retryBudget = Math.min(BUDGET_MOST, retryBudget + RETRY_SHARE);
@@ -313,44 +297,21 @@
         }
     }
 
-    // Time gone since the client's first try, where a marked resubmission shows it. Each try gets the same
-    // time, or what is left of the class's deadline: one with another time than first tries tells its age.
-    private long spent(int requestClass, long timeLeft, boolean resubmission) {
-        long deadline = settings.classes().get(requestClass).deadline();
-        if (!resubmission) {
-            firstTry[requestClass] = Math.max(firstTry[requestClass], timeLeft);
-        }
-        boolean tells = resubmission && Math.abs(timeLeft - firstTry[requestClass]) > deadline / 32;
-        return tells ? Math.max(0, deadline - timeLeft) : 0;
-    }
-
     // When a request must be sent to be answered within its aim; one whose aim has passed is not held.
     private long latestStart(Request r) {
         if (r.aimAt <= r.arrived) {
             return r.arrived;
         }
-        return Math.max(r.arrived + (r.aimAt - r.arrived) / 4, r.aimAt - (long) (2 * usual[r.number]));
+        return Math.max(r.arrived + (r.aimAt - r.arrived) / 4,
+            r.aimAt - (long) (2 * latencies.usual(r.number)));
     }
 
     // Keeps a request for which no server may be used now; one whose time is all but over is answered.
     private void hold(Request r, long now, Actions out) {
         if (now >= r.deadline - 2 * tick) {
             finish(r, now, out);
-        } else if (!r.held) {
-            r.held = true;
-            List<Request> queue = held.get(r.last ? 1 : 0);
-            int i = queue.size();
-            while (i > 0 && latestStart(queue.get(i - 1)) > latestStart(r)) {
-                i--;                    // the most urgent first: short aims ran out in the queue
-            }
-            queue.add(i, r);
-        }
-    }
-
-    private void unhold(Request r) {
-        if (r.held) {
-            r.held = false;
-            held.get(r.last ? 1 : 0).remove(r);
+        } else {
+            held.add(r);
         }
     }
 
@@ -365,13 +326,9 @@
 
     private void send(Request r, Node n, long now, Actions out) {
         Attempt a = new Attempt(n, r, now);
-        r.attempts.add(a);
-        r.out++;
-        n.sent.add(a);
-        n.inFlight++;
+        a.begins(counts.scale());
         inFlight++;
-        n.count += scale;
-        n.tokens--;
+        zones.sent(n, now);
         out.send(r.id, n.server.id(), timeout(r, now));
     }
 
@@ -388,13 +345,13 @@
         if (settings.limits().mayDuplicate() || r.attempts.size() >= settings.limits().maxAttempts()) {
             return 0;
         }
-        long patience = Math.max((r.deadline - now) / 2, (long) (3 * usual[r.number]));
+        long patience = Math.max((r.deadline - now) / 2, (long) (3 * latencies.usual(r.number)));
         return Math.max(1, Math.min(r.deadline - now, patience));
     }
 
     // Sends held requests as servers come free, those within their share first.
     private void drainHeld(long now, Actions out) {
-        for (List<Request> queue : held) {
+        for (List<Request> queue : held.queues()) {
             Iterator<Request> i = queue.iterator();
             while (i.hasNext()) {
                 Request r = i.next();
@@ -438,17 +395,13 @@
             return;
         }
         Attempt a = r.attempts.get(attempt);
-        a.out = false;
-        a.mayHaveRun = !outcome.neverRan();
-        turnedAway += outcome.neverRan() ? 1 : 0;
-        r.out--;
-        a.node.inFlight--;
-        a.health.ended();
+        a.ends(!outcome.neverRan());
         inFlight--;
+        counts.turnedAway(outcome.neverRan() ? 1 : 0);
         if (r.turn != null && a.mayHaveRun && outcome != Outcome.OK && outcome != Outcome.ERROR) {
             r.turn.restUntil = Math.max(r.turn.restUntil, now + settings.bounds().orderPause());
         }
-        report(a.node, load, now);
+        a.node.report(load, now);
         learn(a, outcome, latency, now, out);
         if (closed) {
             close(r, out);
@@ -493,7 +446,7 @@
             || r.attempts.size() >= settings.limits().maxAttempts() || retryBudget < HEDGE_LEAST) {
             return;
         }
-        double expected = usual[r.number] * r.size;
+        double expected = latencies.usual(r.number) * r.size;
         double room = r.aimAt - r.arrived - 2 * expected;
         double patience = Math.max(expected, room);
         if (now - r.attempts.get(r.attempts.size() - 1).at < patience) {
@@ -519,7 +472,8 @@
 
     @Override
     public void brokeOff(long now, String server, Actions out) {
-        Optional.ofNullable(roster.get(server)).ifPresent(n -> failed(n, 1, (long) shortestUsual, now, out));
+        Optional.ofNullable(roster.get(server)).ifPresent(n -> failed(n, 1, (long) latencies.shortest(), now,
+            out));
     }
 
     @Override
@@ -532,70 +486,65 @@
         Request r = open.get(id);
         if (r != null && !r.closed) {
             close(r, out);
-            unhold(r);
+            held.remove(r);
             forget(r);
         }
     }
 
     // ---------------------------------------------------------------- health and limits
 
-    // Guards against figures that no server can mean: what is missing, negative or absurd is passed over.
-    private void report(Node n, Load load, long now) {
-        if (load != null && load.inFlight() >= 0 && load.inFlight() < REPORT_MOST) {
-            n.reported = load.inFlight();
-            n.reportedAt = now;
-        }
-    }
-
     private void learn(Attempt a, Outcome outcome, long latency, long now, Actions out) {
         Node n = a.node;
         RequestClass kind = a.request.kind;
         int number = a.request.number;
-        double usually = usual[number] * a.request.size;
+        double usually = latencies.usual(number) * a.request.size;
         if (outcome != Outcome.NOT_SENT && outcome != Outcome.CANCELLED) {
             n.unreached = outcome == Outcome.CONNECT_FAILED ? n.unreached + 1 : 0;
             n.saidLost = false;
+            if (outcome == Outcome.OK || outcome == Outcome.CONNECT_FAILED) {
+                zones.ended(n, outcome == Outcome.OK);
+            }
         }
         switch (outcome) {
             case OK -> {
-                n.oks += scale;
+                n.oks += counts.scale();
                 n.lastOk = now;
                 a.health.served(() -> remark(now, "recovered " + n.server.id() + ", class " + number, out));
                 n.slowed(latency / usually, now);
-                usual[number] += SMOOTH * (latency - usual[number]);
+                latencies.served(number, latency);
                 exclusion.served(n, () -> remark(now, "recovered " + n.server.id(), out));
                 refusal.strained(latency / (double) kind.aim(), now);
             }
             case CANCELLED -> {         // the copy came first, or the client left
                 if (latency > 2 * usually) {    // its server may well be at it still
-                    failed(n, 0, (long) (2 * usual[number]), now, out);
+                    failed(n, 0, (long) (2 * latencies.usual(number)), now, out);
                     n.slowed(Math.max(n.slowness(now), latency / usually), now);
                 }
             }
             case NOT_SENT -> { }
             case FULL -> {
                 // A hung server fills up and then only turns away: without answers that is no mere overload.
-                failed(n, now - n.lastOk > QUICK ? 0.5 : 0, (long) usual[number], now, out);
-                exclusion.turnedAway(n, usual[number], now);
+                failed(n, now - n.lastOk > QUICK ? 0.5 : 0, (long) latencies.usual(number), now, out);
+                exclusion.turnedAway(n, latencies.usual(number), now);
                 refusal.strained(FULL_STRAIN, now);
             }
             // A time-out may be the fault of the load: it takes more of them.
             case TIMEOUT -> {
                 n.slowed(latency / usually, now);
                 refusal.strained(TIMEOUT_STRAIN, now);
-                failed(n, 0.5, (long) (2 * usual[number]), now, out);
+                failed(n, 0.5, (long) (2 * latencies.usual(number)), now, out);
             }
             case ERROR -> {             // it runs and answers: that tells of this class only
-                failed(n, 0, (long) (2 * usual[number]), now, out);
+                failed(n, 0, (long) (2 * latencies.usual(number)), now, out);
                 a.health.failed(now, random, length -> remark(now, "ejected " + n.server.id() + " for "
                     + length / 1000 + " ms after failures of class " + number, out));
             }
-            default -> failed(n, 1, (long) (2 * usual[number]), now, out);
+            default -> failed(n, 1, (long) (2 * latencies.usual(number)), now, out);
         }
     }
 
     private void failed(Node n, double weight, long penalty, long now, Actions out) {
-        exclusion.failed(n, weight, penalty, scale, now, line -> remark(now, line, out));
+        exclusion.failed(n, weight, penalty, counts.scale(), now, line -> remark(now, line, out));
     }
 
     @Override
@@ -628,49 +577,37 @@
             return;                     // asked for before an earlier one was
         }
         wakeAt = Long.MAX_VALUE;
-        double keep = Math.exp(-(now - fadedAt) / FADE);
-        scale /= Math.max(keep, 1 / GAIN_MOST);
-        arrivals *= keep;
-        turnedAway *= keep;
+        long elapsed = counts.sinceFaded(now);
+        double keep = counts.fade(now);
         refusal.fade(keep);
-        shares.fade(now - fadedAt);
-        capacity.fade(now - fadedAt);
+        shares.fade(elapsed);
+        capacity.fade(elapsed);
         if (now >= refreshAt) {
-            refresh(now);
+            refresh(now, out);
         }
-        shortestUsual = Arrays.stream(usual).min().getAsDouble();
-        ownMean += (1 - Math.exp(-(now - fadedAt) / QUICK)) * (inFlight - ownMean);
-        refusal.forget(now, now - fadedAt);
+        latencies.look();
+        ownMean += (1 - Math.exp(-elapsed / QUICK)) * (inFlight - ownMean);
+        refusal.forget(now, elapsed);
         boolean heard = settings.balancers() == 1 || silentPeers < settings.balancers() - 1;
-        refusal.steer((now - fadedAt) / 1e6, heard ? capacity : null, capacity.rate() + peers.rate());
-        fadedAt = now;
+        refusal.steer(elapsed / 1e6, heard ? capacity : null, capacity.rate() + peers.rate());
         drainHeld(now, out);
-        for (List<Request> queue : held) {
-            for (Request r : new ArrayList<>(queue)) {
-                sweep(r, now, out);
-            }
-        }
+        held.all().forEach(r -> sweep(r, now, out));
         if (settings.limits().mayDuplicate() && refusal.sparesShares()
-            && turnedAway <= HEDGE_FULL * arrivals) {
+            && !counts.turnedAwayMoreThan(HEDGE_FULL)) {
             open.values().forEach(r -> hedge(r, now, out));
         }
-        if (now >= askAt) {
-            ask(now, out);
+        if (subscription.isDue(now)) {
+            subscription.ask(now, out);
         }
         if (peers.speaks() && now >= tellAt) {
             List<Node> listed = roster.listed();
             List<Node> lost = listed.stream().filter(n -> exclusion.cutOff(n) && !n.saidLost).toList();
             out.tell(-1, peers.message(listed, lost, capacity.rate(), now));
-            tellAt = now + (long) (peers.every(perSecond(arrivals, now)) * (0.75 + random.nextDouble() / 2));
+            tellAt = now + (long) (peers.every(counts.perSecond(now)) * (0.75 + random.nextDouble() / 2));
         }
         wakeBy(now, open.isEmpty() ? REFRESH : tick, out);
     }
 
-    // The rate that a faded count stands for: one of a short life has not filled yet.
-    private double perSecond(double faded, long now) {
-        return faded / FADE * 1e6 / (1 - Math.exp(-Math.max(QUICK, now - startedAt) / FADE));
-    }
-
     private void wakeBy(long now, long delay, Actions out) {
         if (now + delay < wakeAt) {
             wakeAt = now + delay;
@@ -682,7 +619,7 @@
     private void sweep(Request r, long now, Actions out) {
         long until = r.deadline - 2 * tick;
         if (now >= (r.attempts.isEmpty() ? Math.min(until, latestStart(r)) : until)) {
-            unhold(r);
+            held.remove(r);
             finish(r, now, out);
         }
     }
@@ -693,32 +630,21 @@
     public void servers(long now, ListKind kind, List<Server> servers, Actions out) {
         if (wakeAt == Long.MAX_VALUE) {
             shares.start(now);
-            startedAt = now;
-            fadedAt = now;
+            counts.start(now);
             wakeBy(now, tick, out);
         }
         if (kind == ListKind.FAILED) {
-            long pause = Math.min(settings.bounds().askWithin() / 2, 500_000L << Math.min(4, askFailures++));
-            askAt = Math.min(askAt, now + pause / 2 + random.nextLong(Math.max(1, pause)));
-            remark(now, "discovery failed " + askFailures + " times, asking again", out);
+            remark(now, "discovery failed " + subscription.failed(now) + " times, asking again", out);
             return;
         }
         if (kind == ListKind.PERSISTED) {
             if (settings.discovery() == Discovery.ASK) {
-                ask(now, out);
+                subscription.ask(now, out);
             }
         } else {
-            askFailures = 0;
-            askAt = Long.MAX_VALUE;
+            subscription.answered();
         }
         roster.update(servers, kind == ListKind.PARTIAL, now);
         drainHeld(now, out);
     }
-
-    // Subscribes; asks again if nothing answers.
-    private void ask(long now, Actions out) {
-        long within = settings.bounds().askWithin();
-        askAt = now + within / 2 + random.nextLong(1 + within / 8);
-        out.watch(true);
-    }
 }
--- a/balancer/src/main/java/junctionhead/Books.java
+++ b/balancer/src/main/java/junctionhead/Books.java
@@ -13,6 +13,7 @@
 
     /** A server, as this balancer sees it. */
     static final class Node {
+        private static final double REPORT_MOST = 1e6;  // requests in hand that a report may name
         private static final double SLOW_FADE = 10e6;   // µs, time constant of the memory of slowness
         private static final double SLOW_SMOOTH = 0.25; // weight of one answer in it
         private static final double SLOW_MOST = 4;      // one answer counts no more than this
@@ -51,6 +52,14 @@
             this.order = order;
         }
 
+        /** Takes a report; what is missing, negative or absurd, as no server can mean it, is passed over. */
+        void report(Policy.Load load, long now) {
+            if (load != null && load.inFlight() >= 0 && load.inFlight() < REPORT_MOST) {
+                reported = load.inFlight();
+                reportedAt = now;
+            }
+        }
+
         /** How many times the usual its latency is; without news that fades to 1. */
         double slowness(long now) {
             return 1 + (slowness - 1) * Math.exp(-(now - slownessAt) / SLOW_FADE);
@@ -71,6 +80,27 @@
         }
     }
 
+    /** What is known of a zone's servers: how many there are, are out, have answered lately. */
+    record Tally(int servers, int out, int proven) {
+        Tally {
+            if (out + proven > servers) {
+                throw new IllegalArgumentException("more than there are");
+            }
+        }
+    }
+
+    /** A zone, as this balancer sees it. */
+    static final class Zone {
+        Zones.State state = Zones.State.WHOLE;
+        long since;                                     // of the state, or of its part
+        long calmUntil;                                 // it is not doubted before
+        long triedAt;
+        int times;                                      // that it was left, of late
+        double part = 1;                                // of the requests that may meet it
+        int good;                                       // answers since then
+        int bad;                                        // attempts since then that found nobody
+    }
+
     /** One send of a request to a server. */
     static final class Attempt {
         final Node node;
@@ -89,6 +119,25 @@
             this.health = node.classes[request.number];
             health.sent();
         }
+
+        /** Writes down that it is sent; {@code count}: what one more counts for. */
+        void begins(double count) {
+            request.attempts.add(this);
+            request.out++;
+            node.sent.add(this);
+            node.inFlight++;
+            node.count += count;
+            node.tokens--;
+        }
+
+        /** Writes down that it has ended. */
+        void ends(boolean mayHaveRunThen) {
+            out = false;
+            mayHaveRun = mayHaveRunThen;
+            request.out--;
+            node.inFlight--;
+            health.ended();
+        }
     }
 
     /** Requests with one key of classes that are served in order: only the first of the line is sent. */
@@ -133,6 +182,11 @@
             return attempts.stream().filter(a -> a.mayHaveRun).findFirst().orElse(null);
         }
 
+        /** From 0 to 1, the same for each look at this request and zone. */
+        double chance(int zone) {
+            return (Hashing.mix(Hashing.hash(id) + zone) >>> 11) * 0x1p-53;
+        }
+
         boolean wasSentTo(Node n) {
             return attempts.stream().anyMatch(a -> a.node == n);
         }
--- a/balancer/src/main/java/junctionhead/Exclusion.java
+++ b/balancer/src/main/java/junctionhead/Exclusion.java
@@ -23,14 +23,14 @@
     private static final double SILENCE = 3; // silent for this multiple of the usual latency: stalled
 
     private final SplittableRandom random;
-    private final double[] usual;                       // µs, of each class, as the module learns them
+    private final Latencies latencies;
     private final long tick;
     private boolean allLookBad;                         // or most of them: the fault is elsewhere
     private boolean noneReached;                        // every server is cut off, or so it seems
 
-    Exclusion(SplittableRandom random, double[] usual, long tick) {
+    Exclusion(SplittableRandom random, Latencies latencies, long tick) {
         this.random = random;
-        this.usual = usual;
+        this.latencies = latencies;
         this.tick = tick;
     }
 
@@ -53,7 +53,7 @@
         if (oldest == null || oldest.request.uploading) {
             return false;
         }
-        double patience = SILENCE * usual[oldest.request.number] + tick;
+        double patience = SILENCE * latencies.usual(oldest.request.number) + tick;
         return now - oldest.at > patience && now - n.lastOk > patience;
     }
 
@@ -72,6 +72,11 @@
         return n.unreached >= CUT_OFF && !noneReached;
     }
 
+    /** Whether the last that was seen of it says that nobody is there: no connection, or no answer. */
+    boolean isSilent(Node n, long now) {
+        return n.unreached > 0 || stalled(n, now);
+    }
+
     /** Whether nothing may be asked of it now: for what is in reach, not for a single request. */
     boolean isOut(Node n, long now) {
         return cutOff(n) || n.ejectedUntil > now && !allLookBad;
--- a/balancer/src/main/java/junctionhead/Roster.java
+++ b/balancer/src/main/java/junctionhead/Roster.java
@@ -1,10 +1,13 @@
 package junctionhead;
 
 import java.util.ArrayList;
+import java.util.Arrays;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.SplittableRandom;
+import java.util.function.IntToLongFunction;
+import java.util.function.Predicate;
 import junctionhead.Books.Node;
 import junctionhead.Policy.Server;
 import junctionhead.Policy.State;
@@ -102,6 +105,25 @@
         return listed;
     }
 
+    /**
+     * Of each zone that servers name, what is known of them: {@code silent} tells who seems gone, {@code
+     * from} since when an answer counts.
+     */
+    List<Books.Tally> tallies(Predicate<Node> silent, IntToLongFunction from) {
+        int zones = 1 + listed.stream().mapToInt(n -> n.server.zone()).max().orElse(-1);
+        int[][] counts = new int[zones][3];
+        for (Node n : listed) {
+            if (n.server.zone() >= 0) {
+                int[] of = counts[n.server.zone()];
+                boolean out = silent.test(n);
+                of[0]++;
+                of[1] += out ? 1 : 0;
+                of[2] += !out && n.oks > 0 && n.lastOk >= from.applyAsLong(n.server.zone()) ? 1 : 0;
+            }
+        }
+        return Arrays.stream(counts).map(c -> new Books.Tally(c[0], c[1], c[2])).toList();
+    }
+
     /** Null where it is not known. */
     Node get(String id) {
         return nodes.get(id);
--- a/balancer/src/main/java/junctionhead/net/Config.java
+++ b/balancer/src/main/java/junctionhead/net/Config.java
@@ -20,11 +20,12 @@
  * What a balancer is told at its start, by its environment and its configuration file. {@code admin} is null
  * where operators have no door; {@code inherited}: the clients' listening socket came as descriptor 0; {@code
  * membership}: the balancers tell each other who is present; {@code duties}: they share out what only one of
- * them does at a time; {@code stateDir} is null where nothing is kept over the process's end.
+ * them does at a time; {@code zones}: zones are left and met again as wholes; {@code stateDir} is null where
+ * nothing is kept over the process's end.
  */
 record Config(String name, InetSocketAddress listen, InetSocketAddress discovery, long seed, int sockets,
         Targets known, SettingsReader.Boot boot, Peers peers, InetSocketAddress admin, boolean inherited,
-        boolean membership, boolean duties, Path stateDir) {
+        boolean membership, boolean duties, boolean zones, Path stateDir) {
     private static final Path LIMITS = Path.of("/proc/self/limits");
     private static final int SOCKETS = 1024;        // assumed where neither file nor system tells
 
@@ -104,7 +105,8 @@
         return new Config(name, listen, discovery, seed(json.get("seed")),
             most == Integer.MAX_VALUE ? SOCKETS : most, known, boot, peers(json),
             door == null ? null : address("admin", door), accept != null,
-            membership, duties, folder("TANSYFERRY_STATE_DIR", environment));
+            membership, duties, switched("TANSYFERRY_ZONES", environment),
+                folder("TANSYFERRY_STATE_DIR", environment));
     }
 
     // Parts that are off unless they are asked for: the platform's configuration knows nothing of them.
--- a/balancer/src/main/java/junctionhead/net/Node.java
+++ b/balancer/src/main/java/junctionhead/net/Node.java
@@ -155,7 +155,9 @@
         Node node;
         InetSocketAddress at;
         try {
-            node = new Node(Config.read(environment), Balance::new, true, log);
+            Config config = Config.read(environment);
+            node = new Node(config, (settings, seed) -> new Balance(settings, seed, config.zones()), true,
+                log);
         } catch (Config.Bad e) {
             log.accept(e.getMessage());
             return 1;
--- a/balancer/src/test/java/junctionhead/SourceLimitsTest.java
+++ b/balancer/src/test/java/junctionhead/SourceLimitsTest.java
@@ -30,6 +30,6 @@
             lines += Files.readAllLines(Path.of("..", named.group(1))).stream().filter(l -> !l.isBlank())
                 .count();
         }
-        assertTrue(files >= 7 && lines <= 1_200, files + " files with " + lines + " non-blank lines");
+        assertTrue(files >= 8 && lines <= 1_200, files + " files with " + lines + " non-blank lines");
     }
 }
--- a/lab/src/main/java/junctionhead/lab/SimCommand.java
+++ b/lab/src/main/java/junctionhead/lab/SimCommand.java
@@ -32,6 +32,10 @@
     @Option(names = "--with-baselines", description = "Also plays random choice, round robin, two choices, "
         + "least queue and the paper's JSQ-DAS.")
     private boolean baselines;
+    @Option(names = "--zones", description =
+        "The modules leave zones and meet them again as wholes; else as the "
+        + "scenario's environment says.")
+    private boolean zones;
     @Option(names = "--remarks", description = "Prints the modules' log lines.")
     private boolean remarks;
     @Option(names = "--out", paramLabel = "DIR", description = "Where the result goes (default: nowhere).")
@@ -41,8 +45,10 @@
     public Integer call() throws IOException {
         Scenario scenario = ScenarioReader.read(file, true);
         Plan plan = Plan.of(scenario, seed);
+        boolean whole = zones || "on".equals(scenario.fleet().environment().get("TANSYFERRY_ZONES"));
         long began = System.nanoTime();
-        Result result = new SimFleet(plan, Balance::new, remarks ? System.out::println : line -> { }).play();
+        Result result = new SimFleet(plan, (settings, s) -> new Balance(settings, s, whole),
+            remarks ? System.out::println : line -> { }).play();
         System.out.printf(Locale.ROOT, "%s: seed %d, %d requests, simulated in %.1f s%n", scenario.name(),
             seed,
             plan.arrivals().size(), (System.nanoTime() - began) / 1e9);
