A zone that is back is met at once where the rest can't carry what comes

Change: Zones is told whether what is in reach can't carry what comes; then one answer is enough, and nothing is held back but by cold servers' budgets.

--- a/balancer/src/main/java/junctionhead/Balance.java
+++ b/balancer/src/main/java/junctionhead/Balance.java
@@ -248,8 +248,7 @@
         silentPeers = peers.silent(now);
         if (judgesZones) {
             zones.look(roster.tallies(n -> exclusion.isSilent(n, now), zone -> zones.newsFrom(zone, now)),
-                now,
-                out::remark);
+                capacity.over(capacity.rate() + peers.rate()) > 0, now, out::remark);
         }
         for (int i = 0; i < allFail.length; i++) {
             allFail[i] = Health.mostRest(listed, i, now);
--- a/balancer/src/main/java/junctionhead/Zones.java
+++ b/balancer/src/main/java/junctionhead/Zones.java
@@ -71,12 +71,15 @@
         of(n.server.zone()).bad += served ? 0 : 1;
     }
 
-    /** Looks at all zones anew, a tally for each; {@code remark} hears of what changes. */
-    void look(List<Tally> tallies, long now, Consumer<String> remark) {
+    /**
+     * Looks at all zones anew, a tally for each; {@code scarce}: what is in reach can't carry what comes;
+     * {@code remark} hears of what changes.
+     */
+    void look(List<Tally> tallies, boolean scarce, long now, Consumer<String> remark) {
         for (int number = 0; number < tallies.size(); number++) {
             Zone z = of(number);
             Tally t = tallies.get(number);
-            State next = next(z, t, othersServe(number, tallies), now);
+            State next = next(z, t, scarce, othersServe(number, tallies), now);
             if (next != z.state) {
                 z.state = next;
                 z.since = now;
@@ -89,7 +92,7 @@
         }
     }
 
-    private static State next(Zone z, Tally t, boolean othersServe, long now) {
+    private static State next(Zone z, Tally t, boolean scarce, boolean othersServe, long now) {
         int news = t.out() + t.proven();
         boolean doubtful = t.out() > DOUBTED * news
             && news >= Math.min(t.servers(), Math.max(2, NEWS_LEAST * t.servers()));
@@ -105,14 +108,15 @@
                 z.calmUntil = doubtful ? now + CALM : now;
                 return doubtful && lasted < DOUBT_MOST ? State.DOUBTED : State.WHOLE;
             case LEFT:
-                z.part = FIRST;
-                return !othersServe || z.good >= Math.min(TRIALS_OK, t.servers())
+                // Where it is needed nothing is held back: cold servers' budgets bound what they get.
+                z.part = scarce ? 1 : FIRST;
+                return !othersServe || scarce && z.good > 0 || z.good >= Math.min(TRIALS_OK, t.servers())
                     && lasted >= HOLD << Math.min(DOUBLINGS, z.times - 1) ? State.RETURNING : State.LEFT;
             default:
                 if (othersServe && (z.bad > z.good || doubtful)) {
                     return leave(z);
                 }
-                if (lasted >= STEP && (z.good > 0 || !othersServe)) {
+                if ((lasted >= STEP || scarce) && (z.good > 0 || !othersServe)) {
                     z.part = Math.min(1, 2 * z.part);
                     z.since = now;
                     z.good = 0;
--- a/balancer/src/test/java/junctionhead/ZonesTest.java
+++ b/balancer/src/test/java/junctionhead/ZonesTest.java
@@ -31,7 +31,7 @@
     private void look(int times, Tally... tallies) {
         for (int i = 0; i < times; i++) {
             now += LOOK;
-            zones.look(List.of(tallies), now, remarks::add);
+            zones.look(List.of(tallies), false, now, remarks::add);
         }
     }
 
@@ -110,7 +110,7 @@
         assertTrue(states(3).stream().noneMatch(s -> s == State.LEFT), states(3).toString());
         Zones other = new Zones();
         for (int i = 0; i < 5; i++) {
-            other.look(List.of(FINE, new Tally(1, 1, 0)), now += LOOK, remarks::add);
+            other.look(List.of(FINE, new Tally(1, 1, 0)), false, now += LOOK, remarks::add);
         }
         assertEquals(State.LEFT, other.of(1).state);
         assertEquals(State.WHOLE, other.of(-1).state);      // of servers that name none
@@ -169,7 +169,7 @@
                 for (int n = 0; n < 3 && i >= 64; n++) {
                     zones(z, n, i >= 128);
                 }
-                z.look(seen, w.now + LOOK, line -> { });
+                z.look(seen, false, w.now + LOOK, line -> { });
                 plant.test(z, w);
                 World after = new World(List.of(z.of(0), z.of(1), z.of(2)), w.now + LOOK);
                 String wrong = check.of(w, after, seen);
