--- a/lab/src/main/java/junctionhead/lab/scenario/ScenarioReader.java
+++ b/lab/src/main/java/junctionhead/lab/scenario/ScenarioReader.java
@@ -164,6 +164,10 @@
             pattern(at + "takes", one.takes());
             pattern(at + "leaves", one.leaves());
         }
+        if (s.expect().zoneLeftWithinS() != null && s.faults().stream().noneMatch(f ->
+                Set.of("crash", "vanish").contains(f.kind()))) {
+            throw bad("expect.zone_left_within_s", "no upstreams crash or vanish");
+        }
         for (int i = 0; i < s.faults().size(); i++) {
             check(s, s.faults().get(i), "fault[" + i + "]");
         }
--- a/lab/src/test/java/junctionhead/lab/rules/PropertiesTest.java
+++ b/lab/src/test/java/junctionhead/lab/rules/PropertiesTest.java
@@ -57,6 +57,41 @@
         assertEquals(List.of("nobody acted for 4.0 s, 3.0 are allowed"), end(acts));
     }
 
+    // ------------------------------------------------------------ a zone is left
+
+    private static void leave(ZoneLeft zone, int balancer, long at, int number) {
+        zone.line(balancer, at, "junctionhead: zone " + number
+            + " is LEFT: 6 of 20 servers out, 0 answering");
+    }
+
+    @Test
+    void aZoneMustBeLeftInTimeByNineOfTen() {
+        ZoneLeft zone = new ZoneLeft(10, 2, 5 * S, S);
+        for (int b = 0; b < 9; b++) {
+            leave(zone, b, 6 * S, 2);
+        }
+        leave(zone, 3, 9 * S, 2);                           // once more, later
+        assertEquals(List.of(), end(zone));
+        assertEquals(1.0, figures.get("zone_left_most_s"));
+        ZoneLeft late = new ZoneLeft(10, 2, 5 * S, S);
+        for (int b = 0; b < 9; b++) {
+            leave(late, b, 6 * S + (b == 8 ? 1 : 0), 2);
+        }
+        assertEquals(List.of("8 of 10 balancers left zone 2 within 1.0 s"), end(late));
+    }
+
+    @Test
+    void aZoneThatWasNotLostMustNotBeLeft() {
+        ZoneLeft zone = new ZoneLeft(1, 2, 5 * S, S);
+        leave(zone, 0, 6 * S, 2);
+        leave(zone, 0, 7 * S, 1);
+        assertEquals(List.of("n0 left zone 1, which was not lost"), end(zone));
+        ZoneLeft early = new ZoneLeft(1, 2, 5 * S, S);
+        leave(early, 0, 4 * S, 2);
+        leave(early, 0, 6 * S, 2);
+        assertEquals(List.of("n0 left zone 2, which was not lost"), end(early));
+    }
+
     // ------------------------------------------------------------ never two
 
     private final NeverTwo one = new NeverTwo("duty", Pattern.compile("holds (\\w+)"),
--- a/lab/src/test/java/junctionhead/lab/scenario/ScenarioReaderTest.java
+++ b/lab/src/test/java/junctionhead/lab/scenario/ScenarioReaderTest.java
@@ -67,6 +67,13 @@
         assertEquals("s.toml: fault[0]." + complaint, bad.getMessage());
     }
 
+    @Test
+    void aZoneThatIsToBeLeftMustBeLost() {
+        BadScenario bad = assertThrows(BadScenario.class, () -> ScenarioReader.parse("s.toml",
+            GOOD + "[expect]\nzone_left_within_s = 1\n", false));
+        assertEquals("s.toml: expect.zone_left_within_s: no upstreams crash or vanish", bad.getMessage());
+    }
+
     @Test
     void whatIsLeftOutHasItsDefault() {
         Scenario scenario = ScenarioReader.parse("s.toml", GOOD, false);
