What the module knows of its servers outlives a crash, where a state's folder is named

Need: a balancer that dies forgets ranks, rests, failures and usual latencies, and all that are killed at once come back blind together.

A start test waits for its condition, as it failed on a loaded machine.

--- a/balancer/src/main/java/junctionhead/Balance.java
+++ b/balancer/src/main/java/junctionhead/Balance.java
@@ -145,11 +145,8 @@
     // finds its own queues empty nearly always, and ties alone would then send all of it to one set. In
     // another zone, where crossing has a price, a queue counts for longer: it must be worth the price.
     private double queue(Node n, long now) {
-        while (!n.penalties.isEmpty() && n.penalties.peekFirst() <= now) {
-            n.penalties.pollFirst();
-        }
         double far = n.server.zone() == settings.zone() ? 0 : CROSSING * settings.prices().crossZone();
-        double queue = (n.inFlight + n.penalties.size()
+        double queue = (n.inFlight + n.keptSlots(now)
             + others(n, now)) * roster.meanWeight() / n.server.weight();
         return queue + far * (1 + queue);
     }
@@ -241,10 +238,8 @@
         List<Node> listed = roster.listed();
         warming.learn(listed, counts.perServed(now), now);
         exclusion.look(listed, now);
-        capacity.inReach(listed.size(), listed.stream().mapToDouble(n ->
-            exclusion.isOut(n, now) ? 0 : zones.of(n.server.zone()).part * warming.usable(n,
-            now) * n.server.weight()).sum()
-            / Math.max(1e-9, listed.size() * roster.meanWeight()));
+        capacity.inReach(listed.size(), roster.share(n -> exclusion.isOut(n, now) ? 0
+            : zones.of(n.server.zone()).part * warming.usable(n, now)));
         silentPeers = peers.silent(now);
         if (judgesZones) {
             zones.look(roster.tallies(n -> exclusion.isSilent(n, now), zone -> zones.newsFrom(zone, now)),
@@ -367,9 +362,7 @@
 
     private void finish(Request r, long now, Actions out) {
         r.closed = true;
-        boolean harmless = r.firstThatMayHaveRun() == null || r.kind.effect() == Effect.SAFE
-            || r.kind.effect() == Effect.KEYED && r.kind.scope() == Scope.ALL;
-        if (harmless) {
+        if (r.mayComeAgain()) {
             out.refuse(r.id, Math.min(RETRY_AFTER, settings.limits().retryAfterMax()));    // strain lasts
         } else {
             out.fail(r.id);
@@ -446,13 +439,12 @@
             return;
         }
         double expected = latencies.usual(r.number) * r.size;
-        double room = r.aimAt - r.arrived - 2 * expected;
-        double patience = Math.max(expected, room);
+        double patience = Math.max(expected, r.aimAt - r.arrived - 2 * expected);
         if (now - r.attempts.get(r.attempts.size() - 1).at < patience) {
             return;
         }
         List<Node> others = candidates(r, now);
-        others.removeIf(n -> r.wasSentTo(n));
+        others.removeIf(r::wasSentTo);
         if (!others.isEmpty()) {
             retryBudget--;
             send(r, draw(others, now), now, out);
@@ -547,7 +539,15 @@
     }
 
     @Override
-    public void probed(long now, String server, Outcome outcome, long latency, Load load, Actions out) { }
+    public Kept keep(long now) {
+        return new Kept(roster.keep(counts.scale(), now), latencies.keep());
+    }
+
+    @Override
+    public void recall(long now, Kept kept, long age) {
+        roster.recall(kept.servers(), counts.scale() * Math.exp(-age / Counts.FADE), age, now);
+        latencies.recall(kept.latencies(), age);
+    }
 
     @Override
     public void peerMessage(long now, int from, byte[] data, Actions out) {
--- a/balancer/src/main/java/junctionhead/Books.java
+++ b/balancer/src/main/java/junctionhead/Books.java
@@ -71,6 +71,14 @@
             slownessAt = now;
         }
 
+        /** Slots that failed attempts still keep. */
+        int keptSlots(long now) {
+            while (!penalties.isEmpty() && penalties.peekFirst() <= now) {
+                penalties.pollFirst();
+            }
+            return penalties.size();
+        }
+
         /** The attempt that has been out for longest, or null. */
         Attempt oldest() {
             while (!sent.isEmpty() && !sent.peekFirst().out) {
@@ -182,6 +190,14 @@
             return attempts.stream().filter(a -> a.mayHaveRun).findFirst().orElse(null);
         }
 
+        /**
+         * Whether its client may send it again without harm: nothing has run, or it is of a kind that may.
+         */
+        boolean mayComeAgain() {
+            return firstThatMayHaveRun() == null || kind.effect() == Policy.Effect.SAFE
+                || kind.effect() == Policy.Effect.KEYED && kind.scope() == Policy.Scope.ALL;
+        }
+
         /** From 0 to 1, the same for each look at this request and zone. */
         double chance(int zone) {
             return (Hashing.mix(Hashing.hash(id) + zone) >>> 11) * 0x1p-53;
--- a/balancer/src/main/java/junctionhead/Counts.java
+++ b/balancer/src/main/java/junctionhead/Counts.java
@@ -8,7 +8,9 @@
  * counts for grows, so that a wake costs nothing for each of them.
  */
 final class Counts {
-    private static final double FADE = 10e6;            // µs, time constant of them all
+    /** µs, time constant of them all. */
+    static final double FADE = 10e6;
+
     private static final double YOUNG = 2e6;            // µs that a rate is taken over at least
     private static final double SCALE_MOST = 1e60;      // counts are brought back to scale above it
 
--- a/balancer/src/main/java/junctionhead/Exclusion.java
+++ b/balancer/src/main/java/junctionhead/Exclusion.java
@@ -17,7 +17,7 @@
     private static final double FAIL_SHARE = 0.15;      // and their share of its recent attempts
     private static final long EJECT_FIRST = 1_000_000;  // µs, first ejection; doubles each time
     private static final int EJECT_DOUBLINGS = 4;       // up to 16 s
-    private static final int TRIALS_OK = 3;             // successes in a row, one at a time, that end a trial
+    static final int TRIALS_OK = 3;                     // successes in a row, one at a time, that end a trial
     private static final int FULL_DOUBLINGS = 3;        // of the rest of a server that turns away
     private static final int CUT_OFF = 2;               // failed connects in a row that say so
     private static final double SILENCE = 3; // silent for this multiple of the usual latency: stalled
--- a/balancer/src/main/java/junctionhead/Latencies.java
+++ b/balancer/src/main/java/junctionhead/Latencies.java
@@ -10,6 +10,8 @@
 final class Latencies {
     private static final double SMOOTH = 0.03;          // weight of one answer, and of one hint
 
+    private static final double TRUST = 60e6;           // µs, time constant of trust in what was kept
+
     private final List<Policy.RequestClass> classes;
     private final double[] usual;                       // µs, moving mean latency
     private final double[] meanWork;                    // moving mean of hints
@@ -38,6 +40,20 @@
         shortest = Arrays.stream(usual).min().getAsDouble();
     }
 
+    List<Double> keep() {
+        return Arrays.stream(usual).boxed().toList();
+    }
+
+    /** Takes over what was usual {@code age} µs ago, the less the older it is. */
+    void recall(List<Double> kept, long age) {
+        double trust = Math.exp(-age / TRUST);
+        for (int i = 0; kept.size() == usual.length && i < usual.length; i++) {
+            double known = Math.max(1, Math.min(classes.get(i).deadline(), kept.get(i)));
+            usual[i] += trust * (known - usual[i]);
+        }
+        look();
+    }
+
     void served(int number, long latency) {
         usual[number] += SMOOTH * (latency - usual[number]);
     }
--- a/balancer/src/main/java/junctionhead/Policy.java
+++ b/balancer/src/main/java/junctionhead/Policy.java
@@ -215,7 +215,7 @@
     void clientGone(long now, String request, Actions out);
 
     /** A probe has come back. */
-    void probed(long now, String server, Outcome outcome, long latency, Load load, Actions out);
+    default void probed(long now, String server, Outcome outcome, long latency, Load load, Actions out) { }
 
     /** The time asked for with {@link Actions#wake} has come. */
     void wake(long now, Actions out);
@@ -225,6 +225,14 @@
         return 0;
     }
 
+    /** What is worth keeping over a crash, as of now; null: nothing. */
+    default Kept keep(long now) {
+        return null;
+    }
+
+    /** What was kept {@code age} µs ago; after the first list, before the first request. */
+    default void recall(long now, Kept kept, long age) { }
+
     /** Requests a second that other balancers get, as they told of late; 0 where none is heard. */
     default double othersRate() {
         return 0;
--- a/balancer/src/main/java/junctionhead/Roster.java
+++ b/balancer/src/main/java/junctionhead/Roster.java
@@ -8,6 +8,7 @@
 import java.util.SplittableRandom;
 import java.util.function.IntToLongFunction;
 import java.util.function.Predicate;
+import java.util.function.ToDoubleFunction;
 import junctionhead.Books.Node;
 import junctionhead.Policy.Server;
 import junctionhead.Policy.State;
@@ -124,6 +125,43 @@
         return Arrays.stream(counts).map(c -> new Books.Tally(c[0], c[1], c[2])).toList();
     }
 
+    /**
+     * What is known of each listed server; counts as if one more counted for 1, and not for {@code scale}.
+     */
+    List<Kept.OfServer> keep(double scale, long now) {
+        return listed.stream().map(n -> new Kept.OfServer(n.server.id(), n.server.startedAt(),
+            n.count / scale,
+            n.oks / scale, n.fails / scale, Math.max(0, n.ejectedUntil - now), n.ejections, n.unreached,
+            Arrays.stream(n.classes).map(c -> Math.max(0, c.foundUntil() - now)).toList())).toList();
+    }
+
+    /**
+     * Takes over what was known {@code age} µs ago of servers that are listed and the same processes still:
+     * counts for {@code scale}, and of each rest what is left. A server is tried at its end, as ever.
+     */
+    void recall(List<Kept.OfServer> kept, double scale, long age, long now) {
+        for (Kept.OfServer k : kept) {
+            Node n = nodes.get(k.id());
+            if (n == null || n.server.startedAt() != k.startedAt()) {
+                continue;
+            }
+            n.count = k.count() * scale;
+            n.oks = k.served() * scale;
+            n.fails = k.failed() * scale;
+            if (k.restsFor() > age) {
+                n.ejectedUntil = now + k.restsFor() - age;
+                n.ejections = k.ejections();
+                n.unreached = k.unreached();
+                n.trial = Exclusion.TRIALS_OK;
+            }
+            for (int i = 0; i < Math.min(n.classes.length, k.classRests().size()); i++) {
+                if (k.classRests().get(i) > age) {
+                    n.classes[i].heard(now + k.classRests().get(i) - age);
+                }
+            }
+        }
+    }
+
     /** Null where it is not known. */
     Node get(String id) {
         return nodes.get(id);
@@ -151,6 +189,12 @@
         return meanWeight;
     }
 
+    /** The mean of what servers have of something, weighted as they are. */
+    double share(ToDoubleFunction<Node> of) {
+        return listed.stream().mapToDouble(n -> of.applyAsDouble(n) * n.server.weight()).sum()
+            / Math.max(1e-9, listed.size() * meanWeight);
+    }
+
     /** The paper's p, from 0 to 1. */
     double fastShare() {
         return fastShare;
--- a/balancer/src/main/java/junctionhead/net/Dispatcher.java
+++ b/balancer/src/main/java/junctionhead/net/Dispatcher.java
@@ -12,6 +12,7 @@
 import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
 import java.util.function.LongConsumer;
+import junctionhead.Kept;
 import junctionhead.Policy;
 import junctionhead.SettingsReader;
 
@@ -370,6 +371,16 @@
         hand(now -> policy.servers(now, kind, targets == null ? List.of() : targets.servers(), this));
     }
 
+    /** What the module would keep over a crash; null: nothing. */
+    Kept kept() {
+        return policy.keep(now());
+    }
+
+    /** Gives the module what was kept {@code age} µs ago. */
+    void recall(Kept kept, long age) {
+        hand(now -> policy.recall(now, kept, age));
+    }
+
     /** The module is told nothing more, and so asks for nothing. */
     void retire() {
         retired = true;
--- a/balancer/src/main/java/junctionhead/net/Node.java
+++ b/balancer/src/main/java/junctionhead/net/Node.java
@@ -15,6 +15,7 @@
 import java.util.function.BiFunction;
 import java.util.function.Consumer;
 import junctionhead.Balance;
+import junctionhead.Kept;
 import junctionhead.Policy;
 
 /** One real balancer: its start, its readiness and its orderly stop. */
@@ -210,6 +211,9 @@
                 loop.scheduleWithFixedDelay(this::publish, PUBLISH_MS, PUBLISH_MS, TimeUnit.MILLISECONDS);
             }
             listed(Policy.ListKind.PERSISTED, known);
+            if (state != null) {
+                remember();
+            }
             discovery.start();
             peers.start(log);
             if (fleet != null) {
@@ -226,6 +230,18 @@
         return at;
     }
 
+    // What was kept goes to the module once it has a list; from then on snapshots are taken.
+    private void remember() {
+        Kept kept = state.module();
+        if (kept != null) {
+            log.accept("state: recalled what was known of " + kept.servers().size() + " upstreams "
+                + state.age() / 1000 + " ms before this start");
+            dispatcher.recall(kept, state.age());
+        }
+        loop.scheduleWithFixedDelay(() -> state.take(dispatcher.kept()), state.everyMs(), state.everyMs(),
+            TimeUnit.MILLISECONDS);
+    }
+
     // At an inherited socket the process that this one takes over from would answer.
     private void rehearse(InetSocketAddress at) {
         LocalAddress inside = shared ? new LocalAddress("rehearsal") : null;
@@ -290,7 +306,7 @@
     private void listed(Policy.ListKind kind, Targets targets) {
         dispatcher.listed(kind, targets);
         if (state != null) {
-            state.listed(kind, targets, loop::execute);
+            state.listed(kind, targets);
         }
         boolean usable = kind == Policy.ListKind.COMPLETE || targets != null
             && targets.list().stream().anyMatch(t -> t.server().state() == Policy.State.UP);
--- a/balancer/src/main/java/junctionhead/net/StateKeeper.java
+++ b/balancer/src/main/java/junctionhead/net/StateKeeper.java
@@ -13,9 +13,11 @@
 import java.util.Map;
 import java.util.concurrent.Executors;
 import java.util.concurrent.RejectedExecutionException;
-import java.util.concurrent.ScheduledExecutorService;
+import java.util.concurrent.ExecutorService;
 import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicBoolean;
 import java.util.function.Consumer;
+import junctionhead.Kept;
 import junctionhead.Policy;
 import junctionhead.SettingsReader;
 import junctionhead.state.FolderDisk;
@@ -23,12 +25,13 @@
 import junctionhead.state.Snapshots;
 
 /**
- * Keeps what this balancer knows of the list, and its own incarnation, in a folder that outlives the process.
- * The list is merged on the event loop, in memory; all that touches the disk happens on a thread of its own,
- * at a bounded rate, so that no request waits for it. One process owns the folder; another that finds it
- * taken serves without.
+ * Keeps what this balancer knows of the list and of its servers, and its own incarnation, in a folder that
+ * outlives the process. The list is merged on the event loop, in memory; all that touches the disk happens on
+ * a thread of its own, at a bounded rate, so that no request waits for it. One process owns the folder;
+ * another that finds it taken serves without.
  */
 final class StateKeeper {
+    private static final long OLD_MS = 30_000;              // knowledge of servers that is worth nothing
     private static final long END_MS = 1_000;               // for what is on its way to the disk
 
     private final Path folder;
@@ -40,15 +43,16 @@
     private final Snapshots promises;
     private final Snapshot promised;
     private final long incarnation;
+    private final long startedAt;                           // ms of the wall clock
     private final FileChannel lock;                         // held until the process ends
     private final Map<String, Targets.Target> list = new LinkedHashMap<>();
-    private final ScheduledExecutorService thread = Executors.newSingleThreadScheduledExecutor(work -> {
+    private final ExecutorService thread = Executors.newSingleThreadExecutor(work -> {
         Thread t = new Thread(work, "state");
         t.setDaemon(true);
         return t;
     });
     private long rev;
-    private boolean waiting;                                // a snapshot is to be taken, on the event loop
+    private final AtomicBoolean waiting = new AtomicBoolean(); // a snapshot, for a disk that takes its time
     private boolean failing;                                // the state's thread's own
 
     private StateKeeper(Path folder, String owner, SettingsReader.Boot boot, long everyMs,
@@ -65,6 +69,7 @@
         found = recovered(snapshots);
         promised = recovered(promises);
         long now = System.currentTimeMillis();
+        startedAt = now;
         incarnation = found == null ? now : Math.max(now, found.incarnation() + 1);
         if (found != null) {
             log.accept("state: recovered snapshot " + found.sequence() + ", "
@@ -159,8 +164,27 @@
         return known;
     }
 
-    /** News of the list, on the event loop; {@code later} runs something on it. */
-    void listed(Policy.ListKind kind, Targets targets, Consumer<Runnable> later) {
+    /** What the module knew, where that can be read and is not too old to be worth anything; else null. */
+    Kept module() {
+        if (found == null || age() < 0 || age() > OLD_MS * 1000) {
+            return null;
+        }
+        try {
+            Object kept = JSON.std.mapFrom(found.content()).get("module");
+            return kept == null ? null : KeptForm.read(kept);
+        } catch (IOException | IllegalArgumentException e) {
+            log.accept("state: what the module knew can't be read: " + e.getMessage());
+            return null;
+        }
+    }
+
+    /** How old that is, µs; negative where the wall clock was set back. */
+    long age() {
+        return (startedAt - found.at()) * 1000;
+    }
+
+    /** News of the list, on the event loop. */
+    void listed(Policy.ListKind kind, Targets targets) {
         if (targets == null) {
             return;
         }
@@ -175,31 +199,38 @@
             }
         }
         rev = targets.rev();
-        if (!waiting) {
-            waiting = true;
-            schedule(() -> later.accept(this::take));
-        }
     }
 
-    private void take() {
-        waiting = false;
-        long of = rev;
-        List<Targets.Target> now = List.copyOf(list.values());
-        write(() -> keep(of, now));
+    /** How often {@link #take} is wanted, ms. */
+    long everyMs() {
+        return everyMs;
     }
 
-    private void schedule(Runnable what) {
-        try {
-            thread.schedule(what, everyMs, TimeUnit.MILLISECONDS);
-        } catch (RejectedExecutionException e) {
-            return;                                         // it ends
+    /**
+     * Has a snapshot taken of the list and of what the module knows, unless the last one still waits for the
+     * disk.
+     */
+    void take(Kept module) {
+        long of = rev;
+        List<Targets.Target> now = List.copyOf(list.values());
+        if (!now.isEmpty() && waiting.compareAndSet(false, true)) {
+            write(() -> {
+                keep(of, now, module);
+                waiting.set(false);
+            });
         }
     }
 
-    private void keep(long of, List<Targets.Target> now) {
+    private void keep(long of, List<Targets.Target> now, Kept module) {
+        Map<String, Object> content = new LinkedHashMap<>();
+        content.put("rev", of);
+        content.put("all", true);
+        content.put("targets", now.stream().map(this::entry).toList());
+        if (module != null) {
+            content.put("module", KeptForm.write(module));
+        }
         try {
-            kept(snapshots, JSON.std.asBytes(Map.of("rev", of, "all", true, "targets",
-                now.stream().map(this::entry).toList())));
+            kept(snapshots, JSON.std.asBytes(content));
         } catch (IOException e) {
             throw new UncheckedIOException(e);              // of bytes in memory
         }
--- a/balancer/src/test/java/junctionhead/net/NodeTest.java
+++ b/balancer/src/test/java/junctionhead/net/NodeTest.java
@@ -234,13 +234,26 @@
         Thread.currentThread().interrupt();
         assertThrows(IOException.class, node::start);
         assertTrue(Thread.interrupted());
-        node.loop().submit(() -> { }).get(20, TimeUnit.SECONDS);    // the bind has been carried out
         InetSocketAddress to = new InetSocketAddress(InetAddress.getLoopbackAddress(), port);
-        try (Client client = new Client(to)) {
+        try (Client client = connected(to)) {
             assertEquals(503, client.send("GET /-/ready HTTP/1.1\r\nHost: x\r\n\r\n").status());
         }
     }
 
+    // Nobody tells when the bind has been carried out.
+    private static Client connected(InetSocketAddress to) throws IOException {
+        long until = System.nanoTime() + TimeUnit.SECONDS.toNanos(20);
+        while (true) {
+            try {
+                return new Client(to);
+            } catch (java.net.ConnectException e) {
+                if (System.nanoTime() - until > 0) {
+                    throw e;
+                }
+            }
+        }
+    }
+
     private Config config(int sockets, Map<String, Object> settings, int port) throws IOException {
         return Config.of(Map.of(), Map.of("name", "n1", "listen", "127.0.0.1:" + port, "discovery",
             discovery.address(), "seed", "8c1f30d27a5be964", "limits", Map.of("sockets", sockets),
--- a/balancer/src/test/java/junctionhead/net/StateKeeperTest.java
+++ b/balancer/src/test/java/junctionhead/net/StateKeeperTest.java
@@ -3,6 +3,7 @@
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertNotNull;
 import static org.junit.jupiter.api.Assertions.assertNull;
+import static org.junit.jupiter.api.Assertions.assertThrows;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import com.fasterxml.jackson.jr.ob.JSON;
@@ -12,6 +13,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.concurrent.CopyOnWriteArrayList;
+import junctionhead.Kept;
 import junctionhead.Policy.ListKind;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.Test;
@@ -30,6 +32,7 @@
     private final List<String> log = new CopyOnWriteArrayList<>();
     private final Config config = config();
     private StateKeeper keeper;
+    private Kept module;
 
     private static Config config() {
         try {
@@ -64,7 +67,8 @@
 
     private void keep(Targets targets) throws IOException, InterruptedException {
         keeper = open();
-        keeper.listed(ListKind.COMPLETE, targets, Runnable::run);
+        keeper.listed(ListKind.COMPLETE, targets);
+        keeper.take(module);
         while (!hasSnapshot()) {
             Thread.onSpinWait();
         }
@@ -97,6 +101,28 @@
         assertEquals(41, keeper.newest(list(40, true, "terminating")).rev());
     }
 
+    @Test
+    void whatTheModuleKnewIsBackAsItWas() throws IOException, InterruptedException {
+        module = new Kept(List.of(new Kept.OfServer("s1", 7, 12.5, 3, 0.25, 900_000, 2, 0,
+            List.of(0L, 5_000L))),
+            List.of(60_000.5));
+        keep(list(41, true, "in_service"));
+        keeper = open();
+        assertEquals(module, keeper.module());
+        assertTrue(keeper.age() >= 0 && keeper.age() < 30_000_000, keeper.age() + " µs");
+    }
+
+    @Test
+    void anOddNumberInWhatTheModuleKnewIsRefused() {
+        Map<String, Object> odd = KeptForm.write(new Kept(List.of(), List.of(-1.0)));
+        assertEquals("no number from 0 to 1.0E9: -1.0",
+            assertThrows(IllegalArgumentException.class, () -> KeptForm.read(odd)).getMessage());
+        for (Object junk : new Object[] {"x", Map.of(), Map.of("servers", List.of(3), "latencies", List.of()),
+            Map.of("servers", List.of(Map.of("uid", 3)), "latencies", List.of())}) {
+            assertThrows(IllegalArgumentException.class, () -> KeptForm.read(junk), junk.toString());
+        }
+    }
+
     @Test
     void aFolderHasOneOwner() {
         keeper = open();
