A drained balancer passes on its duties and wants none until it is resumed

Need: duties are to be handed over at drain as at SIGTERM, though the balancer stays present and a voter.

Change: Duties.rest; it passes on what is held, and says each second to voters and the next best that it wants nothing, which they forget after 3 s. Drain and resume at the door call it. The explorer lets members rest.

--- a/balancer/src/main/java/junctionhead/duties/Duties.java
+++ b/balancer/src/main/java/junctionhead/duties/Duties.java
@@ -45,6 +45,8 @@
     private long chance;
     private boolean viewChanged = true;
     private boolean left;
+    private boolean resting;                                // wants nothing, as operators asked
+    private long tellAt;                                    // those who may hold its slots meanwhile
 
     /** What the caller is to do. */
     public sealed interface Act permits Send, Keep, Taken, Given { }
@@ -78,6 +80,7 @@
         int refusals;
         int best = -1;                                      // the member that should hold it
         int resigned = -1;                                  // one that said that it does not want to
+        long resignedUntil;
         long betterSince = Long.MAX_VALUE;                  // somebody else than this holder
 
         Lease(int slot, int[] voters) {
@@ -97,6 +100,7 @@
             refusals = other.refusals;
             best = other.best;
             resigned = other.resigned;
+            resignedUntil = other.resignedUntil;
             betterSince = other.betterSince;
         }
     }
@@ -153,19 +157,23 @@
         chance = other.chance;
         viewChanged = other.viewChanged;
         left = other.left;
+        resting = other.resting;
+        tellAt = other.tellAt;
     }
 
     /**
      * Its state in a number, times as seen from {@code now}; what differs in nothing that matters is equal.
      */
     public long fingerprint(long now) {
-        long h = voter.fingerprint(now) * 31 + Arrays.hashCode(present) + (left ? 1 : 0);
+        long h = voter.fingerprint(now) * 31 + Arrays.hashCode(present) + (left ? 1 : 0)
+            + (resting ? 2 + Math.max(0, tellAt - now) : 0);
         for (Lease l : leases) {
             h = h * 31 + seen[l.slot];
             h = h * 31 + (l.held == null ? 0 : l.held.fingerprint(now, terms) + (l.renewAt - now));
             h = h * 31 + (l.asked == null ? 0 : l.asked.fingerprint(now, terms) + (l.askedUntil - now)
                 + 3 * (l.repeatAt - now) + 5 * l.repeats);
-            h = h * 31 + l.refusals * 7 + l.resigned * 11 + l.best * 13 + Math.max(0, l.askAt - now);
+            h = h * 31 + l.refusals * 7 + l.resigned * 11 + Math.max(0, l.resignedUntil - now) + l.best * 13
+                + Math.max(0, l.askAt - now);
             h = h * 31 + (l.betterSince == Long.MAX_VALUE ? 0 : now - l.betterSince);
         }
         for (Map.Entry<Integer, Long> round : rounds.entrySet()) {
@@ -220,7 +228,9 @@
     /** When {@link #tick} is wanted next, µs. */
     public long next() {
         long next = viewChanged ? Long.MIN_VALUE / 2 : voter.nextKeep();
+        next = resting ? Math.min(next, tellAt) : next;
         for (Lease l : leases) {
+            next = l.resigned >= 0 ? Math.min(next, l.resignedUntil) : next;
             if (l.held != null) {
                 next = Math.min(next, Math.min(l.renewAt, l.held.until(terms)));
                 next = Math.min(next, l.betterSince == Long.MAX_VALUE ? next : l.betterSince
@@ -245,8 +255,16 @@
             Arrays.stream(leases).forEach(this::choose);
         }
         for (Lease l : leases) {
+            if (l.resigned >= 0 && now >= l.resignedUntil) {
+                l.resigned = -1;
+                choose(l);
+            }
             look(l, now);
         }
+        if (resting && now >= tellAt) {
+            tellAt = now + terms.settle() / 3;
+            Arrays.stream(leases).filter(l -> preferred(l) == self).forEach(l -> resign(l, 0));
+        }
         if (Arrays.stream(leases).anyMatch(l -> l.held != null && now >= l.renewAt)) {
             // All in the same datagrams, those that are due soon too.
             Arrays.stream(leases).filter(l -> l.held != null && now + terms.renew() / 2 >= l.renewAt)
@@ -260,7 +278,33 @@
 
     private void choose(Lease l) {
         l.resigned = l.resigned >= 0 && present[l.resigned] ? l.resigned : -1;
-        l.best = Spread.holder(l.slot, members, m -> m == self || present[m] && m != l.resigned);
+        l.best = Spread.holder(l.slot, members, m -> m == self ? !resting : present[m] && m != l.resigned);
+    }
+
+    // Who should hold it if nobody rested.
+    private int preferred(Lease l) {
+        return Spread.holder(l.slot, members, m -> m == self || present[m]);
+    }
+
+    /**
+     * This member stays and wants no duties, or ({@code on} false) wants them again. It passes on what it
+     * holds at once, and tells those concerned from time to time: they forget it a while after the last time.
+     */
+    public List<Act> rest(long now, boolean on) {
+        if (left) {
+            return List.of();
+        }
+        resting = on;
+        tellAt = now;
+        for (Lease l : leases) {
+            choose(l);
+            if (on && l.held != null) {
+                give(l, "resting");
+            } else if (on && l.asked != null) {
+                withdraw(l, now);
+            }
+        }
+        return tick(now);
     }
 
     private void look(Lease l, long now) {
@@ -335,10 +379,7 @@
         acts.add(new Given(l.slot, l.held.epoch, why));
         for (Claim c : new Claim[] {l.held, l.asked}) {
             if (c != null && c.binding) {
-                write(l, Word.Kind.PASS, c.epoch);
-                if (l.best >= 0 && IntStream.of(l.voters).noneMatch(v -> v == l.best)) {
-                    letter(l.best, Word.Kind.PASS, new Word.Entry(l.slot, c.epoch));
-                }
+                resign(l, c.epoch);
             }
         }
         l.held = null;
@@ -346,6 +387,14 @@
         l.betterSince = Long.MAX_VALUE;
     }
 
+    // Its voters are free again, and who is next may ask.
+    private void resign(Lease l, long epoch) {
+        write(l, Word.Kind.PASS, epoch);
+        if (l.best >= 0 && IntStream.of(l.voters).noneMatch(v -> v == l.best)) {
+            letter(l.best, Word.Kind.PASS, new Word.Entry(l.slot, epoch));
+        }
+    }
+
     /** This member leaves in order: others may have at once what it holds. */
     public List<Act> leave(long now) {
         if (left) {
@@ -414,8 +463,9 @@
                 Lease l = leases[e.slot()];
                 l.refusals = 0;
                 l.askAt = Math.min(l.askAt, now);
-                // it leaves: the view will say so too, but later
+                // It leaves, and the view will say so too, but later; or it rests, and says so again.
                 l.resigned = l.best == from ? from : l.resigned;
+                l.resignedUntil = l.resigned == from ? now + terms.settle() : l.resignedUntil;
                 choose(l);
                 look(l, now);
             }
--- a/balancer/src/main/java/junctionhead/net/DutyLink.java
+++ b/balancer/src/main/java/junctionhead/net/DutyLink.java
@@ -81,6 +81,11 @@
         return duties.hold(MemberLink.now(), key);
     }
 
+    /** Passes on all that is held and wants none, as operators asked; or wants them again. */
+    void rest(boolean on) {
+        act(duties.rest(MemberLink.now(), on));
+    }
+
     /** Gives all that is held to others; says nothing after that. */
     void leave() {
         act(duties.leave(MemberLink.now()));
--- a/balancer/src/main/java/junctionhead/net/FleetLink.java
+++ b/balancer/src/main/java/junctionhead/net/FleetLink.java
@@ -75,6 +75,13 @@
         return members.heard(from, data) || duties != null && duties.heard(from, data);
     }
 
+    /** Wants no duties, as operators drain this balancer, or wants them again. */
+    void rest(boolean on) {
+        if (duties != null) {
+            duties.rest(on);
+        }
+    }
+
     /** Duties first, so that who is told that this one leaves finds them free. */
     void leave() {
         if (duties != null) {
--- a/balancer/src/main/java/junctionhead/net/Node.java
+++ b/balancer/src/main/java/junctionhead/net/Node.java
@@ -103,11 +103,18 @@
             return stats;
         }
 
+        private void rest(boolean on) {
+            if (fleet != null) {
+                fleet.rest(on);
+            }
+        }
+
         @Override
         public void drain() {
             loop.execute(() -> {
                 log.accept("draining, as operators asked");
                 clients.drain();
+                rest(true);
                 publish();
             });
         }
@@ -117,6 +124,7 @@
             loop.execute(() -> {
                 log.accept("back to work, as operators asked");
                 clients.resume();
+                rest(false);
                 publish();
             });
         }
--- a/balancer/src/test/java/junctionhead/duties/DutiesTest.java
+++ b/balancer/src/test/java/junctionhead/duties/DutiesTest.java
@@ -122,6 +122,26 @@
         assertEquals(List.of(), fleet.members[before].tick(fleet.now));
     }
 
+    @Test
+    void whoRestsPassesOnWhatItHoldsAndGetsItBackAfterwards() {
+        Fleet fleet = new Fleet(5);
+        fleet.pass(3_000 * MS);
+        int before = fleet.holders(0)[0];
+        int next = Spread.holder(0, 5, m -> m != before);
+        fleet.act(before, fleet.members[before].rest(fleet.now, true));
+        fleet.pass(50 * MS);
+        assertArrayEquals(new int[] {next}, fleet.holders(0));
+        fleet.pass(20_000 * MS);                            // all hold it present, and nobody waits for it
+        assertArrayEquals(new int[] {next}, fleet.holders(0));
+        fleet.out[next] = true;
+        fleet.seen();
+        fleet.pass(2 * TERMS.lease());                      // the next one dies: it still rests
+        assertArrayEquals(new int[] {Spread.holder(0, 5, m -> m != before && m != next)}, fleet.holders(0));
+        fleet.act(before, fleet.members[before].rest(fleet.now, false));
+        fleet.pass(3 * TERMS.settle());
+        assertArrayEquals(new int[] {before}, fleet.holders(0));
+    }
+
     @Test
     void withoutAMajorityNobodyHoldsAnythingAndLaterSomebodyDoes() {
         Fleet fleet = new Fleet(4);
--- a/lab/src/main/java/junctionhead/lab/explore/DutiesExplorer.java
+++ b/lab/src/main/java/junctionhead/lab/explore/DutiesExplorer.java
@@ -41,7 +41,8 @@
      */
     record World(Duties[] members, boolean[] down, boolean[] still, boolean[][] views,
         List<List<Promise>> kept,
-            List<List<Promise>> older, Duties.Keep[] writing, long[] heard, boolean[] said, long newest,
+            List<List<Promise>> older, Duties.Keep[] writing, long[] heard, boolean[] said, boolean[] rests,
+            long newest,
             int newestBy,
             String flaw, List<Flight> flying, long now, int faultsLeft, World from, String step)
             implements Search.State<World> { }
@@ -61,6 +62,7 @@
         final boolean[] said;
         boolean[] down;
         boolean[] still;
+        boolean[] rests;
         boolean[][] views;
         long newest;
         int newestBy;
@@ -79,6 +81,7 @@
             said = w.said.clone();
             down = w.down;
             still = w.still;
+            rests = w.rests;
             views = w.views;
             newest = w.newest;
             newestBy = w.newestBy;
@@ -153,7 +156,8 @@
         }
 
         World done(String step) {
-            return new World(all, down, still, views, kept, older, writing, heard, said, newest, newestBy,
+            return new World(all, down, still, views, kept, older, writing, heard, said, rests, newest,
+                newestBy,
                 flaw,
                 flying, now, faultsLeft, w, step);
         }
@@ -199,7 +203,8 @@
         }
         return new Search<>(this).walk(new World(all, new boolean[members], new boolean[members], views,
             none, none,
-            new Duties.Keep[members], new long[members], new boolean[members], 0, -1, "", List.of(), 0,
+            new Duties.Keep[members], new long[members], new boolean[members], new boolean[members], 0, -1,
+                "", List.of(), 0,
             faults, null,
             "all start"), states, steps, settleEach, seed);
     }
@@ -340,6 +345,13 @@
         pause.still = w.still.clone();
         pause.still[m] = !w.still[m];
         next.add(pause.done("n" + m + (w.still[m] ? " goes on" : " stands still")));
+        if (!w.still[m]) {
+            Next rest = new Next(w).fault();
+            rest.rests = w.rests.clone();
+            rest.rests[m] = !w.rests[m];
+            rest.play(m, rest.own(m).rest(clock(m, w.now), rest.rests[m]));
+            next.add(rest.done("n" + m + (w.rests[m] ? " wants duties again" : " rests")));
+        }
         for (int other = 0; other < members && !w.still[m]; other++) {
             if (other != m) {
                 Next view = new Next(w).fault();
@@ -367,6 +379,8 @@
         n.kept.set(m, promises);
         n.older.set(m, promises);
         n.heard[m] = 0;
+        n.rests = w.rests.clone();
+        n.rests[m] = false;
         return n.done("n" + m + " " + how);
     }
 
@@ -414,6 +428,7 @@
             Arrays.fill(n.views[m], true);
             n.all[m] = w.down[m] ? started(m, w.kept.get(m), w.now) : new Duties(w.members[m]);
             n.play(m, n.all[m].present(clock(m, w.now), who -> true));
+            n.play(m, n.all[m].rest(clock(m, w.now), false));
         }
         long calm = -1;                                     // the epoch held while it has to stay
         for (long end = w.now + SETTLE_LEASES * terms.lease(); n.now < end; n.now += STEP) {
