--- a/balancer/src/main/java/junctionhead/net/StateKeeper.java
+++ b/balancer/src/main/java/junctionhead/net/StateKeeper.java
@@ -32,6 +32,7 @@
  */
 final class StateKeeper {
     private static final long OLD_MS = 30_000;              // knowledge of servers that is worth nothing
+    private static final int REST = 100; // times what a snapshot took, from one to the next
     private static final long END_MS = 1_000;               // for what is on its way to the disk
 
     private final Path folder;
@@ -53,6 +54,8 @@
     });
     private long rev;
     private final AtomicBoolean waiting = new AtomicBoolean(); // a snapshot, for a disk that takes its time
+    // by which a large state costs as little as a small one
+    private volatile long restsUntil = System.nanoTime();
     private boolean failing;                                // the state's thread's own
 
     private StateKeeper(Path folder, String owner, SettingsReader.Boot boot, long everyMs,
@@ -213,9 +216,11 @@
     void take(Kept module) {
         long of = rev;
         List<Targets.Target> now = List.copyOf(list.values());
-        if (!now.isEmpty() && waiting.compareAndSet(false, true)) {
+        if (!now.isEmpty() && System.nanoTime() - restsUntil >= 0 && waiting.compareAndSet(false, true)) {
             write(() -> {
+                long began = System.nanoTime();
                 keep(of, now, module);
+                restsUntil = began + REST * (System.nanoTime() - began);
                 waiting.set(false);
             });
         }
--- a/lab/src/main/java/junctionhead/lab/fleet/Fleet.java
+++ b/lab/src/main/java/junctionhead/lab/fleet/Fleet.java
@@ -199,9 +199,7 @@
             onLoop(() -> tell(on, (p, b) -> p.paused(b, world.now(), false)));
         } else {
             for (Balancer b : on) {
-                if (b.process().isAlive()) {
-                    throw new IOException("n" + b.number() + " is to start again and has not ended");
-                }
+                ended(b);
                 if (scenario.fleet().stateDir()) {
                     states.change(b.number(), f.text().state(), f.text().at());
                 }
@@ -215,6 +213,18 @@
         });
     }
 
+    // A process that was killed is gone a little later, on a busy machine.
+    private static void ended(Balancer b) throws IOException {
+        try {
+            if (!b.process().waitFor(END_MS, TimeUnit.MILLISECONDS)) {
+                throw new IOException("n" + b.number() + " is to start again and has not ended");
+            }
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+            throw new IOException(e);
+        }
+    }
+
     private Void tell(List<Balancer> of, ObjIntConsumer<Property> what) {
         of.forEach(b -> properties.forEach(p -> what.accept(p, b.number())));
         return null;
