Properties that hear of no ends and pauses need not say so

Reason: two new properties of runs repeated the same empty methods. Change: Property has them as defaults. Measured: nothing changes in what is checked; the lab builds and its style holds.

--- a/lab/src/main/java/junctionhead/lab/rules/ActsInOrder.java
+++ b/lab/src/main/java/junctionhead/lab/rules/ActsInOrder.java
@@ -26,15 +26,6 @@
         this.idle = idle;
     }
 
-    @Override
-    public void down(int balancer, long at, boolean word) { }
-
-    @Override
-    public void up(int balancer, long at) { }
-
-    @Override
-    public void paused(int balancer, long at, boolean on) { }
-
     @Override
     public void line(int balancer, long at, String line) {
         Matcher found = ACT.matcher(line);
--- a/lab/src/main/java/junctionhead/lab/rules/Property.java
+++ b/lab/src/main/java/junctionhead/lab/rules/Property.java
@@ -10,13 +10,13 @@
  */
 public interface Property {
     /** The balancer's process ended or was ended; {@code word}: it was asked to, and could say so. */
-    void down(int balancer, long at, boolean word);
+    default void down(int balancer, long at, boolean word) { }
 
     /** Its process was started again. */
-    void up(int balancer, long at);
+    default void up(int balancer, long at) { }
 
     /** It stands still, or goes on. */
-    void paused(int balancer, long at, boolean on);
+    default void paused(int balancer, long at, boolean on) { }
 
     /** A line of its log, without the lab's time. */
     void line(int balancer, long at, String line);
--- a/lab/src/main/java/junctionhead/lab/rules/ZoneLeft.java
+++ b/lab/src/main/java/junctionhead/lab/rules/ZoneLeft.java
@@ -28,15 +28,6 @@
         Arrays.fill(leftAt, Long.MAX_VALUE);
     }
 
-    @Override
-    public void down(int balancer, long at, boolean word) { }
-
-    @Override
-    public void up(int balancer, long at) { }
-
-    @Override
-    public void paused(int balancer, long at, boolean on) { }
-
     @Override
     public void line(int balancer, long at, String line) {
         Matcher found = LINE.matcher(line);
