A test for a zone that returns where servers are short; what two drained at once may do

Reason: the read of the change found that a zone's quick return had no test, and that a slot remembers one resting member only.

--- a/balancer/src/test/java/junctionhead/ZonesTest.java
+++ b/balancer/src/test/java/junctionhead/ZonesTest.java
@@ -83,6 +83,22 @@
         assertEquals(State.WHOLE, zones.of(1).state);
     }
 
+    @Test
+    void whereServersAreShortOneAnswerIsEnoughAndNothingIsHeldBack() {
+        look(4, FINE, GONE);
+        assertEquals(State.LEFT, zones.of(1).state);
+        zones.look(List.of(FINE, FINE), true, now += LOOK, remarks::add);
+        assertEquals(State.LEFT, zones.of(1).state);        // short or not, somebody has to answer
+        zones.ended(server(1), true);
+        zones.look(List.of(FINE, FINE), true, now += LOOK, remarks::add);
+        assertEquals(State.RETURNING, zones.of(1).state);
+        assertEquals(1, zones.of(1).part);
+        assertTrue(tries(1, false));
+        zones.ended(server(1), true);
+        zones.look(List.of(FINE, FINE), true, now += LOOK, remarks::add);
+        assertEquals(State.WHOLE, zones.of(1).state);
+    }
+
     @Test
     void whatFailsOnReturnIsLeftAgainAndForLongerEachTime() {
         List<Long> lengths = new ArrayList<>();
