A silent or broken watch is replaced before what it misses counts as told

A watch that was reset was opened anew 0.5 s later, and one silent from its first byte after 7 s, though the agent answers at once. An older whole list that a call brought overwrote a newer one. Ruled out by reading: an old watch that delivers after a new one (it is marked over).

Silence is borne for 4.8 s, a first answer is awaited for 0.7 s where lists are pushed, a watch that worked is renewed at once, lists are told apart by Netty's JsonObjectDecoder, and revisions only rise within a call.

--- a/balancer/src/main/java/junctionhead/net/Discovery.java
+++ b/balancer/src/main/java/junctionhead/net/Discovery.java
@@ -10,7 +10,7 @@
 import io.netty.channel.EventLoop;
 import io.netty.channel.SimpleChannelInboundHandler;
 import io.netty.channel.socket.nio.NioSocketChannel;
-import io.netty.handler.codec.LineBasedFrameDecoder;
+import io.netty.handler.codec.DecoderException;
 import io.netty.handler.codec.MessageToMessageDecoder;
 import io.netty.handler.codec.http.DefaultFullHttpRequest;
 import io.netty.handler.codec.http.HttpClientCodec;
@@ -21,6 +21,7 @@
 import io.netty.handler.codec.http.HttpResponse;
 import io.netty.handler.codec.http.HttpVersion;
 import io.netty.handler.codec.http.LastHttpContent;
+import io.netty.handler.codec.json.JsonObjectDecoder;
 import java.net.InetSocketAddress;
 import java.nio.charset.StandardCharsets;
 import java.util.List;
@@ -37,10 +38,14 @@
  * where lists are pushed, always.
  */
 final class Discovery {
-    private static final int LINE_MOST = 4 << 20;
+    private static final int LIST_MOST = 4 << 20;   // bytes
     private static final int CONNECT_MS = 2_000;
-    private static final long SILENCE_MS = 7_000;   // a watch holds a line every 2 s: three are missing
-    private static final long AGAIN_MS = 500;       // after a failure, where lists are pushed
+    // A line comes every 2 s. What a watch misses that has fallen silent counts as told 6 s later: by then
+    // another one has to have brought it, however short the grace of drains is.
+    private static final long SILENCE_MS = 4_800;
+    // Where lists are pushed the agent answers at once; asked, discovery may let a call wait its turn.
+    private static final long FIRST_MS = 700;
+    private static final long AGAIN_MS = 200;       // after a failure, where lists are pushed
 
     private final EventLoop loop;
     private InetSocketAddress address;
@@ -104,6 +109,8 @@
         private Future<?> silence;
         private boolean answered;                   // the module has had what its call was for
         private boolean over;
+        private final long openedAt = System.nanoTime();
+        private final Lists objects = new Lists();
 
         Call(String uri, boolean watching) {
             this.uri = uri;
@@ -111,15 +118,15 @@
         }
 
         void open() {
-            heard();
+            await(SILENCE_MS);
             ChannelFuture connected = new Bootstrap().group(loop).channel(NioSocketChannel.class)
                 .option(ChannelOption.TCP_NODELAY, true)
                 .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, CONNECT_MS)
                 .handler(new ChannelInitializer<Channel>() {
                     @Override
                     protected void initChannel(Channel ch) {
-                        ch.pipeline().addLast(new HttpClientCodec(), new Bodies(Call.this),
-                            new LineBasedFrameDecoder(LINE_MOST), Call.this);
+                        ch.pipeline().addLast(new HttpClientCodec(), new Bodies(Call.this), objects,
+                            Call.this);
                     }
                 }).connect(address);
             channel = connected.channel();
@@ -131,6 +138,7 @@
                     ask.headers().set(HttpHeaderNames.HOST,
                         address.getAddress().getHostAddress() + ":" + address.getPort());
                     channel.writeAndFlush(ask);
+                    await(pushed ? FIRST_MS : SILENCE_MS);
                 } else {
                     ended();
                 }
@@ -138,45 +146,64 @@
         }
 
         // Guards against a discovery that is cut off: its connection stays open and silent.
-        private void heard() {
+        private void await(long most) {
             if (silence != null) {
                 silence.cancel(false);
             }
-            silence = loop.schedule(() -> {
-                if (channel != null) {
-                    channel.close();
-                }
-                ended();
-            }, SILENCE_MS, TimeUnit.MILLISECONDS);
+            if (!over) {
+                silence = loop.schedule(() -> {
+                    if (channel != null) {
+                        channel.close();
+                    }
+                    ended();
+                }, most, TimeUnit.MILLISECONDS);
+            }
+        }
+
+        /** A part of the answer has come; an empty line between lists says that nothing has changed. */
+        void heard(ByteBuf part) {
+            await(SILENCE_MS);
+            if (watching && !answered && !over && objects.isBetween() && isBlank(part)) {
+                accept(new Targets(rev, false, List.of()));
+            }
+        }
+
+        private static boolean isBlank(ByteBuf part) {
+            return part.forEachByte(b -> b == ' ' || b == '\r' || b == '\n' || b == '\t') < 0;
         }
 
         @Override
-        protected void channelRead0(ChannelHandlerContext context, ByteBuf line) {
-            String text = line.toString(StandardCharsets.UTF_8).strip();
+        protected void channelRead0(ChannelHandlerContext context, ByteBuf list) {
             if (over) {
                 return;
             }
-            heard();
-            Targets targets;
-            if (text.isEmpty()) {
-                if (answered || !watching) {
-                    return;                         // nothing has changed
-                }
-                targets = new Targets(rev, false, List.of());
-            } else {
-                try {
-                    targets = Targets.parse(text, boot);
-                } catch (IllegalArgumentException e) {
-                    // A change may be lost with it: the next watch, from the last good version, brings it.
-                    log.accept("discovery sent a list that can't be read: " + e.getMessage());
-                    channel.close();
-                    ended();
-                    return;
+            try {
+                Targets targets = Targets.parse(list.toString(StandardCharsets.UTF_8), boot);
+                if ((answered || !watching) && targets.rev() < rev) {
+                    finish();                       // older than what has been heard already
+                } else {
+                    accept(targets);
                 }
+            } catch (IllegalArgumentException e) {
+                unreadable(e.getMessage());
             }
+        }
+
+        // A change may be lost with it: the next watch, from the last good version, brings it.
+        private void unreadable(String why) {
+            log.accept("discovery sent a list that can't be read: " + why);
+            channel.close();
+            ended();
+        }
+
+        private void accept(Targets targets) {
             rev = targets.rev();
             answered = true;
             news.accept(targets.all() ? ListKind.COMPLETE : ListKind.PARTIAL, targets);
+            finish();
+        }
+
+        private void finish() {
             if (!watching) {
                 over = true;
                 channel.close();
@@ -185,6 +212,9 @@
 
         @Override
         public void exceptionCaught(ChannelHandlerContext context, Throwable cause) {
+            if (cause instanceof DecoderException && !over) {
+                unreadable(cause.getMessage());
+            }
             channel.close();
         }
 
@@ -200,15 +230,29 @@
             if (!pushed) {
                 news.accept(ListKind.FAILED, null);
             } else if (watching) {
+                // What the agent has counts as told, watched or not: a watch that worked is renewed at once.
+                boolean worked = answered && System.nanoTime() - openedAt > AGAIN_MS * 1_000_000;
                 loop.schedule(() -> {
                     if (watch == null) {
                         watch(true);
                     }
-                }, AGAIN_MS, TimeUnit.MILLISECONDS);
+                }, worked ? 0 : AGAIN_MS, TimeUnit.MILLISECONDS);
             }
         }
     }
 
+    /** Tells lists apart, each a JSON object, on one line or many. */
+    private static final class Lists extends JsonObjectDecoder {
+        Lists() {
+            super(LIST_MOST);
+        }
+
+        /** Whether no part of a list is held. */
+        boolean isBetween() {
+            return actualReadableBytes() == 0;
+        }
+    }
+
     /** Passes the body of a 200 answer on, and ends the call for any other. */
     private static final class Bodies extends MessageToMessageDecoder<HttpObject> {
         private final Call call;
@@ -226,14 +270,11 @@
             }
             if (part instanceof HttpContent content && context.channel().isActive()) {
                 if (content.content().isReadable()) {
+                    call.heard(content.content());
                     out.add(content.content().retain());
                 }
-                if (part instanceof LastHttpContent) {
-                    if (!call.watching) {           // the list may end without a line end
-                        out.add(context.alloc().buffer(1).writeByte('\n'));
-                    } else {
-                        context.close();
-                    }
+                if (part instanceof LastHttpContent && call.watching) {
+                    context.close();
                 }
             }
         }
--- /dev/null
+++ b/balancer/src/test/java/junctionhead/net/DiscoveryTest.java
@@ -0,0 +1,170 @@
+package junctionhead.net;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import com.fasterxml.jackson.jr.ob.JSON;
+import io.netty.channel.EventLoop;
+import io.netty.channel.nio.NioEventLoopGroup;
+import java.io.IOException;
+import java.util.HashMap;
+import java.util.Map;
+import java.util.concurrent.BlockingQueue;
+import java.util.concurrent.LinkedBlockingQueue;
+import java.util.concurrent.TimeUnit;
+import junctionhead.SettingsReader;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.Timeout;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
+
+/** Watches that fall silent, break or are replaced, where lists are pushed. */
+@Timeout(60)
+class DiscoveryTest {
+    private static final String HEAD = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n";
+
+    private final NioEventLoopGroup group = new NioEventLoopGroup(1);
+    private final EventLoop loop = group.next();
+    private final BlockingQueue<String> news = new LinkedBlockingQueue<>();
+    private FakeUpstream agent;
+    private Discovery discovery;
+
+    @BeforeEach
+    void open() throws IOException {
+        agent = new FakeUpstream();
+        Map<String, Object> settings = new HashMap<>(NodeTest.settings());
+        settings.put("MembershipMode", "push");
+        Map<String, String> values = new HashMap<>();
+        Config.flatten("", settings, values);
+        SettingsReader.Boot boot = SettingsReader.read(values,
+            (path, what) -> new IllegalStateException(path));
+        discovery = new Discovery(loop, Targets.address(agent.address()), boot, 41,
+            (kind, targets) -> news.add(kind + " " + (targets == null ? "" : targets.rev() + " "
+                + targets.list().stream().map(t -> t.server().id()).toList())), line -> { });
+        loop.execute(discovery::start);
+    }
+
+    @AfterEach
+    void close() throws IOException {
+        group.shutdownGracefully(0, 1, TimeUnit.SECONDS);
+        agent.close();
+    }
+
+    private static String list(int rev, boolean all, String id) {
+        return "{\"rev\":" + rev + ",\"all\":" + all + ",\"targets\":[{\"uid\":\"" + id
+            + "\",\"endpoint\":\"127.0.0.1:80\",\"state\":\"in_service\"}]}";
+    }
+
+    private static String chunk(String text) {
+        return Integer.toHexString(text.length()) + "\r\n" + text + "\r\n";
+    }
+
+    private FakeUpstream.Got watchFrom(int rev) throws InterruptedException {
+        FakeUpstream.Got watch = agent.next();
+        assertEquals("GET /api/targets?watch=1&from=" + rev + " HTTP/1.1", watch.line());
+        return watch;
+    }
+
+    private String heard() throws InterruptedException {
+        return String.valueOf(news.poll(20, TimeUnit.SECONDS));
+    }
+
+    /** An agent answers at once: one that does not is asked again, and what the old call brings is late. */
+    @Test
+    void aWatchThatIsSilentFromItsFirstByteIsOpenedAnew() throws Exception {
+        FakeUpstream.Got silent = watchFrom(41);
+        FakeUpstream.Got next = watchFrom(41);
+        assertTrue(silent.closedByPeer());
+        next.raw(HEAD + chunk(list(51, true, "new") + "\n"));
+        assertEquals("COMPLETE 51 [new]", heard());
+    }
+
+    /** What it misses counts as told 6 s after it fell silent, whether that is amid a list or between two. */
+    @ParameterizedTest
+    @ValueSource(strings = {"", "{\"rev\":43,\"all\":fal"})
+    void aWatchThatFallsSilentIsOpenedAnewBeforeWhatItMissesCountsAsTold(String half) throws Exception {
+        FakeUpstream.Got watch = watchFrom(41);
+        watch.raw(HEAD + chunk(list(42, true, "a") + "\n"));
+        assertEquals("COMPLETE 42 [a]", heard());
+        if (!half.isEmpty()) {
+            watch.raw(chunk(half));
+        }
+        long silent = System.nanoTime();
+        watchFrom(42).raw(HEAD + chunk(list(43, false, "b") + "\n"));
+        assertEquals("PARTIAL 43 [b]", heard());
+        assertTrue(System.nanoTime() - silent < 6_000_000_000L);
+    }
+
+    @Test
+    void aWatchThatIsResetAsAChangeIsOnItsWayGoesOnFromTheLastWholeOne() throws Exception {
+        FakeUpstream.Got watch = watchFrom(41);
+        watch.raw(HEAD + chunk(list(42, true, "a") + "\n"));
+        assertEquals("COMPLETE 42 [a]", heard());
+        watch.raw(chunk("{\"rev\":43,"));
+        watch.reset();
+        FakeUpstream.Got next = watchFrom(42);
+        next.raw(HEAD + chunk("\n"));
+        assertEquals("PARTIAL 42 []", heard());
+        next.raw(chunk(list(43, false, "b") + "\n"));
+        assertEquals("PARTIAL 43 [b]", heard());
+    }
+
+    @Test
+    void listsMayStandOnManyLinesAndComeInPieces() throws Exception {
+        FakeUpstream.Got watch = watchFrom(41);
+        String text = JSON.std.with(JSON.Feature.PRETTY_PRINT_OUTPUT).asString(
+            JSON.std.mapFrom(list(42, true, "odd } \\\" {")));
+        assertTrue(text.lines().count() > 3, text);
+        watch.raw(HEAD + chunk("  \n"));            // nothing has changed so far
+        assertEquals("PARTIAL 41 []", heard());
+        for (int i = 0; i < text.length(); i += 7) {
+            watch.raw(chunk(text.substring(i, Math.min(text.length(), i + 7))));
+        }
+        assertEquals("COMPLETE 42 [odd } \" {]", heard());
+        watch.raw(chunk("\n\n" + list(43, false, "b").replace(",", ",\n  ") + list(44, false, "c")));
+        assertEquals("PARTIAL 43 [b]", heard());
+        assertEquals("PARTIAL 44 [c]", heard());
+    }
+
+    @Test
+    void anOlderRevisionNeverOverwritesANewerOne() throws Exception {
+        FakeUpstream.Got watch = watchFrom(41);
+        watch.raw(HEAD + chunk(list(45, true, "a") + "\n"));
+        assertEquals("COMPLETE 45 [a]", heard());
+        loop.execute(discovery::fetch);
+        FakeUpstream.Got fetch = agent.next();
+        assertEquals("GET /api/targets HTTP/1.1", fetch.line());
+        watch.raw(chunk(list(46, false, "b") + "\n" + list(44, false, "old") + "\n"));
+        assertEquals("PARTIAL 46 [b]", heard());
+        fetch.answer(200, "", list(45, true, "old"));
+        assertTrue(fetch.closedByPeer());
+        watch.raw(chunk(list(47, false, "c") + "\n"));
+        assertEquals("PARTIAL 47 [c]", heard());
+    }
+
+    /** As after SIGHUP, while the old watch is silent, broken off or amid a list. */
+    @ParameterizedTest
+    @ValueSource(strings = {"silent", "reset", "{\"rev\":43,"})
+    void anotherAddressIsAskedAtOnceWhateverBecameOfTheOldWatch(String state) throws Exception {
+        FakeUpstream.Got watch = watchFrom(41);
+        watch.raw(HEAD + chunk(list(42, true, "a") + "\n"));
+        assertEquals("COMPLETE 42 [a]", heard());
+        if (state.equals("reset")) {
+            watch.reset();
+        } else if (!state.equals("silent")) {
+            watch.raw(chunk(state));
+        }
+        try (FakeUpstream other = new FakeUpstream()) {
+            loop.execute(() -> discovery.move(Targets.address(other.address())));
+            FakeUpstream.Got moved = other.next();
+            assertEquals("GET /api/targets?watch=1&from=42 HTTP/1.1", moved.line());
+            if (state.equals("silent")) {
+                assertTrue(watch.closedByPeer());
+            }
+            moved.raw(HEAD + chunk(list(7, true, "elsewhere") + "\n"));
+            assertEquals("COMPLETE 7 [elsewhere]", heard());    // it counts for itself
+        }
+    }
+}
