What may be sent is asked again when its connection is up

An attempt is decided when the module sends it, but written only when its connection has come up, up to the connect time-out later. Meanwhile its client may have left (and where the settings forbid to cancel it was sent all the same), its server may have begun to drain or come anew and be cold, and the window of its key may have passed: with a window of 80 ms and connects of 250 ms a repeat ran after it. Net looked at the grace of drains only.

Policy.mayBegin is asked right before the first byte; where it says no the attempt ends as NOT_SENT, its connection rests, and the request goes elsewhere if it still may. A keyed request whose window is over is answered at once instead of being held to its deadline.

--- a/balancer/src/main/java/junctionhead/Balance.java
+++ b/balancer/src/main/java/junctionhead/Balance.java
@@ -82,7 +82,7 @@
     private double retryBudget = BUDGET_MOST;
     private long refreshAt;
     private long wakeAt = Long.MAX_VALUE;
-    private long remarkAt;
+    private final Remarks remarks = new Remarks();
 
     public Balance(Settings settings, long seed) {
         this(settings, seed, false);
@@ -187,7 +187,7 @@
                 continue;
             }
             n.walk = walk;
-            if (r.kind.permits(n.server) && mayRunOn(r, n, now) && warming.hasBudget(n, now)
+            if (r.kind.permits(n.server) && mayRunOn(r, n) && warming.hasBudget(n, now)
                     && (allFail[r.number] || n.classes[r.number].admits(now))
                     && exclusion.admits(n, r, anySafe, now)
                     && zones.admits(n, r, r.kind.effect() != Effect.UNSAFE, now)) {
@@ -216,16 +216,16 @@
             || r.turn.line.peekFirst() == r && (now >= r.turn.restUntil || !r.attempts.isEmpty());
     }
 
-    // Rule 2: a request that may have run goes again only where its class allows.
-    private boolean mayRunOn(Request r, Node n, long now) {
+    // Rule 2: a request that may have run goes again only where its class allows, while its key is known.
+    private boolean mayRunAgain(Request r, long now) {
         Attempt first = r.firstThatMayHaveRun();
-        if (first == null || r.kind.effect() == Effect.SAFE) {
-            return true;
-        }
-        if (r.kind.effect() == Effect.UNSAFE || now - first.at >= r.kind.keyMemory() - tick) {
-            return false;
-        }
-        return switch (r.kind.scope()) {
+        return first == null || r.kind.effect() == Effect.SAFE
+            || r.kind.effect() == Effect.KEYED && now - first.at < r.kind.keyMemory() - tick;
+    }
+
+    private static boolean mayRunOn(Request r, Node n) {
+        Attempt first = r.kind.effect() == Effect.SAFE ? null : r.firstThatMayHaveRun();
+        return first == null || switch (r.kind.scope()) {
             case ALL -> true;
             case ZONE -> n.server.zone() == first.server.zone() && n.server.zone() >= 0;
             case CELL -> n.server.cell() == first.server.cell() && n.server.cell() >= 0;
@@ -275,10 +275,8 @@
         wakeBy(now, tick, out);
         retryBudget = Math.min(BUDGET_MOST, retryBudget + RETRY_SHARE);
         if (refusal.refuses(r, random.nextDouble())) {
-            if (now >= remarkAt) {      // the text is not made up for each of many refusals
-                remark(now, String.format(Locale.ROOT, "overload: refusing, level %.2f, strain %.2f",
-                    refusal.level(), refusal.strain()), out);
-            }
+            remarks.say(now, () -> String.format(Locale.ROOT,
+                "overload: refusing, level %.2f, strain %.2f", refusal.level(), refusal.strain()), out);
             finish(r, now, out);
             return;
         }
@@ -310,7 +308,7 @@
     }
 
     private boolean place(Request r, long now, Actions out) {
-        List<Node> candidates = hasTurn(r, now) ? candidates(r, now) : List.of();
+        List<Node> candidates = hasTurn(r, now) && mayRunAgain(r, now) ? candidates(r, now) : List.of();
         if (candidates.isEmpty()) {
             return false;
         }
@@ -318,6 +316,17 @@
         return true;
     }
 
+    @Override
+    public boolean mayBegin(long now, String id, int attempt) {
+        Request r = open.get(id);
+        if (r == null || r.closed) {
+            return false;
+        }
+        Node n = r.attempts.get(attempt).node;
+        return n.server.state() == State.UP && roster.get(n.server.id()) == n
+            && (r.firstThatMayHaveRun() == r.attempts.get(attempt) || mayRunAgain(r, now));
+    }
+
     private void send(Request r, Node n, long now, Actions out) {
         Attempt a = new Attempt(n, r, now);
         a.begins(counts.scale());
@@ -415,8 +424,8 @@
 
     // After a failed attempt: another one, if the class, the deadline and the retry budget allow it.
     private void again(Request r, Outcome outcome, long now, Actions out) {
-        boolean allowed = outcome.neverRan() || r.kind.effect() != Effect.UNSAFE && retryBudget >= 1;
-        if (!allowed || outcome == Outcome.NOT_SENT || r.attempts.size() >= settings.limits().maxAttempts()
+        boolean allowed = mayRunAgain(r, now) && (outcome.neverRan() || retryBudget >= 1);
+        if (!allowed || r.attempts.size() >= settings.limits().maxAttempts()
             || now >= (r.kind.effect() == Effect.SAFE ? r.deadline : r.aimAt) - tick) {
             finish(r, now, out);
             return;
@@ -500,10 +509,11 @@
             case OK -> {
                 n.oks += counts.scale();
                 n.lastOk = now;
-                a.health.served(() -> remark(now, "recovered " + n.server.id() + ", class " + number, out));
+                a.health.served(
+                    () -> remarks.say(now, "recovered " + n.server.id() + ", class " + number, out));
                 n.slowed(latency / usually, now);
                 latencies.served(number, latency);
-                exclusion.served(n, () -> remark(now, "recovered " + n.server.id(), out));
+                exclusion.served(n, () -> remarks.say(now, "recovered " + n.server.id(), out));
                 refusal.strained(latency / (double) kind.aim(), now);
             }
             case CANCELLED -> {         // the copy came first, or the client left
@@ -527,7 +537,7 @@
             }
             case ERROR -> {             // it runs and answers: that tells of this class only
                 failed(n, 0, (long) (2 * latencies.usual(number)), now, out);
-                a.health.failed(now, random, length -> remark(now, "ejected " + n.server.id() + " for "
+                a.health.failed(now, random, length -> remarks.say(now, "ejected " + n.server.id() + " for "
                     + length / 1000 + " ms after failures of class " + number, out));
             }
             default -> failed(n, 1, (long) (2 * latencies.usual(number)), now, out);
@@ -535,7 +545,7 @@
     }
 
     private void failed(Node n, double weight, long penalty, long now, Actions out) {
-        exclusion.failed(n, weight, penalty, counts.scale(), now, line -> remark(now, line, out));
+        exclusion.failed(n, weight, penalty, counts.scale(), now, line -> remarks.say(now, line, out));
     }
 
     @Override
@@ -557,14 +567,7 @@
                 exclusion.saidLost(n, now);
             }
         })) {
-            remark(now, "passed over a message of balancer " + from, out);
-        }
-    }
-
-    private void remark(long now, String line, Actions out) {
-        if (now >= remarkAt) {
-            remarkAt = now + 1_000_000;
-            out.remark(line);
+            remarks.say(now, "passed over a message of balancer " + from, out);
         }
     }
 
@@ -617,7 +620,8 @@
     // Rule 1: answers held requests in time, new ones as soon as they can't be answered within their aim.
     private void sweep(Request r, long now, Actions out) {
         long until = r.deadline - 2 * tick;
-        if (now >= (r.attempts.isEmpty() ? Math.min(until, latestStart(r)) : until)) {
+        if (now >= (r.attempts.isEmpty() ? Math.min(until, latestStart(r)) : until)
+                || !mayRunAgain(r, now)) {
             held.remove(r);
             finish(r, now, out);
         }
@@ -633,7 +637,7 @@
             wakeBy(now, tick, out);
         }
         if (kind == ListKind.FAILED) {
-            remark(now, "discovery failed " + subscription.failed(now) + " times, asking again", out);
+            remarks.say(now, "discovery failed " + subscription.failed(now) + " times, asking again", out);
             return;
         }
         if (kind == ListKind.PERSISTED) {
--- a/balancer/src/main/java/junctionhead/Books.java
+++ b/balancer/src/main/java/junctionhead/Books.java
@@ -107,6 +107,13 @@
         double part = 1;                                // of the requests that may meet it
         int good;                                       // answers since then
         int bad;                                        // attempts since then that found nobody
+
+        /** A state, or a part, begins. */
+        void begins(long now) {
+            since = now;
+            good = 0;
+            bad = 0;
+        }
     }
 
     /** One send of a request to a server. */
--- a/balancer/src/main/java/junctionhead/Policy.java
+++ b/balancer/src/main/java/junctionhead/Policy.java
@@ -199,6 +199,15 @@
     void outcome(long now, String request, int attempt, Outcome outcome, long latency, boolean closed,
             Load load, Actions out);
 
+    /**
+     * Whether an attempt that had to wait for a connection may still be sent, asked right before its first
+     * byte: meanwhile its request may have ended, its server have left or come anew, its key's window have
+     * passed. Where not it ends as {@link Outcome#NOT_SENT}.
+     */
+    default boolean mayBegin(long now, String request, int attempt) {
+        return true;
+    }
+
     /** The request that has just been handed over is still coming in: its time has not begun. */
     default void uploading(long now, String request) { }
 
--- a/balancer/src/main/java/junctionhead/Zones.java
+++ b/balancer/src/main/java/junctionhead/Zones.java
@@ -82,12 +82,9 @@
             State next = next(z, t, scarce, othersServe(number, tallies), now);
             if (next != z.state) {
                 z.state = next;
-                z.since = now;
-                z.good = 0;
-                z.bad = 0;
+                z.begins(now);
                 remark.accept(String.format(Locale.ROOT, "zone %d is %s: %d of %d servers out, %d answering",
-                    number,
-                    next, t.out(), t.servers(), t.proven()));
+                    number, next, t.out(), t.servers(), t.proven()));
             }
         }
     }
@@ -118,9 +115,7 @@
                 }
                 if ((lasted >= STEP || scarce) && (z.good > 0 || !othersServe)) {
                     z.part = Math.min(1, 2 * z.part);
-                    z.since = now;
-                    z.good = 0;
-                    z.bad = 0;
+                    z.begins(now);
                 }
                 return z.part < 1 ? State.RETURNING : State.WHOLE;
         }
--- a/balancer/src/main/java/junctionhead/net/Dispatcher.java
+++ b/balancer/src/main/java/junctionhead/net/Dispatcher.java
@@ -436,6 +436,11 @@
                 await(a);
             }
             a.call = upstreams.send(server, x.order, wait, new Upstreams.Listener() {
+                @Override
+                public boolean mayBegin() {
+                    return !x.closed && policy.mayBegin(now(), x.id, a.number);
+                }
+
                 @Override
                 public void ended(Policy.Outcome outcome, FullHttpResponse answer, Policy.Load load) {
                     Dispatcher.this.ended(a, outcome, answer, load);
--- a/balancer/src/main/java/junctionhead/net/Upstreams.java
+++ b/balancer/src/main/java/junctionhead/net/Upstreams.java
@@ -61,6 +61,14 @@
 
     /** How a request to an upstream ended; {@code answer} is null but for OK, and the caller's to release. */
     interface Listener {
+        /**
+         * Whether it may still be written, asked right before its first byte where it had to wait for a
+         * connection; where not, it ends as NOT_SENT.
+         */
+        default boolean mayBegin() {
+            return true;
+        }
+
         void ended(Outcome outcome, FullHttpResponse answer, Policy.Load load);
 
         /**
@@ -244,10 +252,13 @@
                 connection.channel.close();
             } else if (connection.call == null) {
                 connection.rest();          // its attempt was given up meanwhile: the handshake is paid for
-            } else if (clock.getAsLong() >= u.stopAt) {
-                // Rule 3: the list changed while this one waited for its connection.
-                connection.finish(Outcome.NOT_SENT, null, null);
-                connection.close();
+            } else if (clock.getAsLong() >= u.stopAt || !connection.call.listener.mayBegin()) {
+                // What holds is the instant of the write: the list, or what the request allows, has changed
+                // while this one waited for its connection.
+                Call late = connection.call;
+                connection.call = null;
+                connection.rest();
+                late.end(Outcome.NOT_SENT, null, null);
             } else {
                 connection.write(connection.call);
             }
