A resting connection on which something arrives is not used

A request was written to a resting connection whose end, reset, half a line or unasked answer had come and was not read yet: it was reset and might have run, or got the stray answer as its own (seen: the body 'stray' in place of 'r2'). And the connection used last was used next, on which a second answer that comes milliseconds late is most likely.

Before a resting connection is used a read looks for what has come (WatchedChannel); of those that rest, one that has for 10 ms is taken, or the one that has for longest. AttemptsTest forces each arrival while the loop stands still: all four cases fail without the change, and UpstreamsTest's order does. A second answer that comes after the next request was written can't be told from that one's, as before.

--- a/balancer/src/main/java/junctionhead/net/Upstreams.java
+++ b/balancer/src/main/java/junctionhead/net/Upstreams.java
@@ -14,7 +14,6 @@
 import io.netty.channel.SimpleChannelInboundHandler;
 import io.netty.channel.local.LocalAddress;
 import io.netty.channel.local.LocalChannel;
-import io.netty.channel.socket.nio.NioSocketChannel;
 import io.netty.handler.codec.http.DefaultFullHttpRequest;
 import io.netty.handler.codec.http.DefaultFullHttpResponse;
 import io.netty.handler.codec.http.DefaultHttpRequest;
@@ -54,6 +53,7 @@
     private static final int WHOLE_MOST = 64 * 1024; // of an answer that is passed on only when it is whole
     private static final int READ_MOST = 32 * 1024; // bytes at a time
     private static final long GATHER_MS = 100;      // for an answer of unknown length to be whole
+    private static final long REST = 10_000;        // µs after an answer in which another one is better
     private static final double IDLE_SHARE = 0.5;   // of the time after which upstreams close an idle one
     private static final long DRAIN_MARGIN = 50_000; // µs before the grace is over: the clock is not shared
     private static final long FORGET = 60_000_000;  // µs after its grace that a stopped upstream is kept
@@ -89,6 +89,23 @@
         Upstream(String id) {
             this.id = id;
         }
+
+        // The one that was used last of those that rest since before {@code then}, else that which has rested
+        // for longest; null where none is idle. Guards against second answers that come a little late: on a
+        // connection that was used again at once they were taken for the next request's.
+        Connection rested(long then) {
+            if (idle.isEmpty() || idle.peekFirst().idleSince > then) {
+                return idle.pollFirst();
+            }
+            Connection last = idle.pollLast();
+            ArrayDeque<Connection> later = new ArrayDeque<>();
+            while (last.idleSince > then) {
+                later.addFirst(last);
+                last = idle.pollLast();
+            }
+            idle.addAll(later);
+            return last;
+        }
     }
 
     private final EventLoop loop;
@@ -127,7 +144,7 @@
             .option(ChannelOption.RCVBUF_ALLOCATOR, new AdaptiveRecvByteBufAllocator(64, 2048, READ_MOST))
             .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, connectMillis());
         if (inside == null) {
-            bootstrap.channel(NioSocketChannel.class).option(ChannelOption.TCP_NODELAY, true);
+            bootstrap.channelFactory(WatchedChannel::new).option(ChannelOption.TCP_NODELAY, true);
         } else {
             bootstrap.channel(LocalChannel.class);
         }
@@ -214,10 +231,10 @@
             call.end(Outcome.NOT_SENT, null, null);
             return call;
         }
-        Connection ready = u.idle.pollLast();
+        Connection ready = u.rested(clock.getAsLong() - REST);
         while (ready != null && !ready.usable()) {
             ready.close();
-            ready = u.idle.pollLast();
+            ready = u.rested(clock.getAsLong() - REST);
         }
         if (ready != null) {
             ready.write(call);
@@ -416,7 +433,8 @@
         }
 
         boolean usable() {
-            return channel.isActive() && clock.getAsLong() - idleSince < idleMost;
+            return channel.isActive() && clock.getAsLong() - idleSince < idleMost
+                && !(channel instanceof WatchedChannel watched && watched.hasUnread());
         }
 
         void write(Call next) {
