Nothing is sent for a client that has left behind its request

With a body over 64 KiB that waits for its connection, reading rested and the end was not seen at all.

A connection is read to its end in one turn, and requests are handled after all that this turn reads; a waiting body is read on a little every 0.1 s, up to 256 KiB of it, to see what stands behind.

--- a/balancer/src/main/java/junctionhead/net/ClientServer.java
+++ b/balancer/src/main/java/junctionhead/net/ClientServer.java
@@ -66,6 +66,7 @@
     static final int WHOLE_MOST = Relay.AHEAD;      // of a body that is handed over only when it is whole
     static final int BODY_MOST = 32 * 1024 * 1024;
     private static final int READ_MOST = 32 * 1024; // bytes at a time
+    private static final int READS_MOST = 16;       // in one turn, of a connection
     private static final int SEND_MOST = 128 * 1024; // bytes of a long answer that the system holds
     // For a first request, or one that has begun, to be whole; each byte of a body gives it a little more.
     private static final long REQUEST_NS = 2_400_000_000L;
@@ -138,11 +139,18 @@
                         listener = channel;
                     }
                 })
-                .childOption(ChannelOption.RCVBUF_ALLOCATOR,
-                    new AdaptiveRecvByteBufAllocator(64, 2048, READ_MOST))
+                .childOption(ChannelOption.RCVBUF_ALLOCATOR, upToTheEnd())
                 .childOption(ChannelOption.TCP_NODELAY, true).childHandler(newClients());
     }
 
+    // Reads until nothing is left, so that a client's end is seen together with what it sent before.
+    private static AdaptiveRecvByteBufAllocator upToTheEnd() {
+        AdaptiveRecvByteBufAllocator sizes = new AdaptiveRecvByteBufAllocator(64, 2048, READ_MOST);
+        sizes.maxMessagesPerRead(READS_MOST);
+        sizes.respectMaybeMoreData(false);
+        return sizes;
+    }
+
     private ChannelInitializer<Channel> newClients() {
         return new ChannelInitializer<>() {
             @Override
@@ -306,6 +314,7 @@
         private HttpVersion version = HttpVersion.HTTP_1_1; // of the request that is answered
         private boolean receiving;                  // a part of a request has come
         private boolean busy;                       // from a whole request until its answer is written
+        private boolean due;                        // the first of those ahead is handled in this turn
         private boolean closing;                    // takes nothing more: what still comes is dropped
         private Future<?> patience;                 // while a request is awaited that should come soon
         private long awaitedSince;
@@ -436,7 +445,7 @@
                 return;
             }
             if (upload == null && bytes > WHOLE_MOST) {
-                upload = new Relay(channel, budget, () -> { });
+                upload = new Relay(channel, budget, true, () -> { });
                 if (gathered != null) {
                     upload.add(gathered);
                     gathered = null;
@@ -553,16 +562,21 @@
         private void came(FullHttpRequest request) {
             receiving = false;
             requestCame();
-            if (busy) {
-                events.tell(Events.Kind.PIPELINED, request.headers().get("Req-Id"),
-                    () -> "behind " + current + ", " + this);
-                if (ahead.size() < PIPELINED_MOST) {
-                    ahead.add(request.retain());
-                } else {
-                    closing = true;                 // once those before it have been answered
-                }
+            if (!busy) {
+                // Handled after all that this turn of the loop reads: a client may have left behind its
+                // request, while it waited in the backlog or for this process, and nothing is sent for it.
+                busy = true;
+                due = true;
+                ahead.add(request.retain());
+                loop.execute(this::answered);
+                return;
+            }
+            events.tell(Events.Kind.PIPELINED, request.headers().get("Req-Id"),
+                () -> "behind " + current + ", " + this);
+            if (ahead.size() < (due ? PIPELINED_MOST + 1 : PIPELINED_MOST)) {
+                ahead.add(request.retain());
             } else {
-                handle(request);
+                closing = true;                     // once those before it have been answered
             }
         }
 
@@ -749,7 +763,11 @@
         }
 
         private void answered() {
+            if (!channel.isActive()) {
+                return;                             // its client has left, and nothing is owed any more
+            }
             busy = false;
+            due = false;
             FullHttpRequest next = ahead.poll();
             if (next != null) {
                 handle(next);
--- a/balancer/src/main/java/junctionhead/net/Relay.java
+++ b/balancer/src/main/java/junctionhead/net/Relay.java
@@ -18,6 +18,9 @@
     private static final long STILL_NS = 10_000_000_000L; // without a byte moved: one side stands still
     private static final long LOOK_MS = 1_000;
     private static final int PART = 128;            // bytes of overhead that a part is counted for
+    // Between looks for the end of a client whose body waits: a little is read, for it stands behind that.
+    private static final long END_LOOK_MS = 100;
+    private static final int END_MOST = 4 * AHEAD;  // held at most for that
 
     /** What the relays of a process hold together. Guards against many at a time that each hold little. */
     static final class Budget {
@@ -43,6 +46,7 @@
     private final Runnable unwanted;
     private final ArrayDeque<ByteBuf> waiting = new ArrayDeque<>();
     private final Future<?> looking;
+    private final Future<?> lookingForEnd;          // null where the source's end is no news
     private Channel sink;                           // null until there is one
     private Sink listener;
     private long held;                              // waiting, or written and not yet taken by the system
@@ -52,13 +56,24 @@
     private boolean flowing;
     private boolean over;
 
-    /** {@code unwanted} runs once if the sink wants no more before the end. */
-    Relay(Channel source, Budget budget, Runnable unwanted) {
+    /**
+     * {@code unwanted} runs once if the sink wants no more before the end; {@code watched}: the source's end
+     * is looked for while it waits for the sink, too.
+     */
+    Relay(Channel source, Budget budget, boolean watched, Runnable unwanted) {
         this.source = source;
         this.budget = budget;
         this.unwanted = unwanted;
         looking = source.eventLoop().scheduleWithFixedDelay(this::look, LOOK_MS, LOOK_MS,
             TimeUnit.MILLISECONDS);
+        lookingForEnd = !watched ? null : source.eventLoop().scheduleWithFixedDelay(this::lookForEnd,
+            END_LOOK_MS, END_LOOK_MS, TimeUnit.MILLISECONDS);
+    }
+
+    private void lookForEnd() {
+        if (!over && !ended && holdsBack() && held < END_MOST && !budget.spent()) {
+            source.read();
+        }
     }
 
     /** Whether a sink has got any of it: it can't be given to another from the start. */
@@ -89,6 +104,7 @@
     void end() {
         if (!ended) {
             ended = true;
+            stopLookingForEnd();
             source.config().setAutoRead(true);
             flow();
         }
@@ -189,12 +205,19 @@
     private void finish() {
         over = true;
         looking.cancel(false);
+        stopLookingForEnd();
         for (ByteBuf part = waiting.poll(); part != null; part = waiting.poll()) {
             hold(-part.readableBytes() - PART);
             part.release();
         }
     }
 
+    private void stopLookingForEnd() {
+        if (lookingForEnd != null) {
+            lookingForEnd.cancel(false);
+        }
+    }
+
     // Ends what stands still, however slowly it may move. Before there is a sink, others bound the time.
     private void look() {
         if (sink != null && System.nanoTime() - moved > STILL_NS) {
--- a/balancer/src/main/java/junctionhead/net/Upstreams.java
+++ b/balancer/src/main/java/junctionhead/net/Upstreams.java
@@ -585,7 +585,7 @@
                 return;
             }
             gathered = null;
-            download = new Relay(channel, budget, this::close);
+            download = new Relay(channel, budget, false, this::close);
             download.add(begin);
             call.listener.begun(head, length(), download, LoadReport.parse(head.headers().get("Srv-Load")));
         }
--- /dev/null
+++ b/balancer/src/test/java/junctionhead/net/LeavingTest.java
@@ -0,0 +1,113 @@
+package junctionhead.net;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.net.Socket;
+import java.util.ArrayList;
+import java.util.List;
+import junctionhead.net.NodeTest.Client;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
+import org.junit.jupiter.params.provider.ValueSource;
+
+/** Clients that leave, wherever their requests are just then. */
+class LeavingTest extends Crossing {
+    @ParameterizedTest
+    @CsvSource({"1,false,false", "1,true,false", "1,false,true", "1,true,true", "300,false,false",
+        "300,true,false"})
+    void whoLeftBehindItsRequestWhileTheLoopStoodStillIsSentNothingFor(int many, boolean reset, boolean kept)
+            throws Exception {
+        start();
+        List<Client> gone = new ArrayList<>();
+        if (kept) {
+            gone.add(new Client(at).send(request("r0")));
+            taken();
+            serves(gone.get(0), "r0");
+            assertEquals("OK closed", module.next());
+        }
+        Stall stall = new Stall(node.loop());
+        for (int i = 0; i < many; i++) {
+            if (!kept) {
+                gone.add(new Client(at));
+            }
+            gone.get(i).send(request("gone" + i));
+            if (reset) {
+                gone.get(i).socket.setSoLinger(true, 0);
+            }
+            gone.get(i).close();
+        }
+        stall.release();
+        try (Client next = new Client(at).send(request("r2"))) {
+            serves(next, "r2");
+        }
+        taken();
+        assertTrue(module.requests.isEmpty(), module.requests.toString());
+        assertEquals("OK closed", module.next());
+    }
+
+    @Test
+    void whoLeavesWhileHeldIsToldAndNothingIsSentForIt() throws Exception {
+        start();
+        module.server = null;
+        Client gone = new Client(at).send(request("gone"));
+        taken();
+        String held = module.taken;
+        gone.close();
+        assertEquals("gone", module.next());
+        new Stall(node.loop(), () -> module.actions.send(held, "s1", 0)).release();
+        module.server = "s1";
+        try (Client next = new Client(at).send(request("r2"))) {
+            serves(next, "r2");
+        }
+    }
+
+    /** Where nothing may be cancelled, too: a connection that comes up later is not used for it. */
+    @ParameterizedTest
+    @ValueSource(booleans = {false, true})
+    void whoLeavesWhileItsConnectionIsMadeIsSentNothingFor(boolean cancels) throws Exception {
+        try (ClosedDoor door = new ClosedDoor()) {
+            start(door.address());
+            module.cancels = cancels;
+            Client gone = new Client(at).send(request("gone"));
+            taken();
+            gone.close();
+            assertEquals("gone", module.next());
+            Socket opened = door.open();
+            assertEquals("NOT_SENT closed", module.next());
+            try (Client next = new Client(at)) {
+                next.send(request("r2"));
+                assertTrue(FakeUpstream.head(opened.getInputStream()).contains("Req-Id: r2"));
+            }
+        }
+    }
+
+    @Test
+    void whoLeavesBehindOneThatIsServedIsSentNothingFor() throws Exception {
+        start();
+        Client gone = new Client(at).send(request("r1") + request("gone"));
+        FakeUpstream.Got first = upstream.next();
+        gone.close();
+        assertEquals("gone", module.next());
+        assertEquals("CANCELLED closed", module.next());
+        assertTrue(first.closedByPeer());
+        try (Client next = new Client(at).send(request("r2"))) {
+            serves(next, "r2");
+        }
+    }
+
+    /** Its body waits for a connection, and more of it than is read meanwhile: its end stands behind that. */
+    @Test
+    void whoLeavesWhileItsBodyWaitsIsSeenThoughReadingRests() throws Exception {
+        try (ClosedDoor door = new ClosedDoor()) {
+            start(door.address());
+            Client gone = new Client(at).send("POST /api/k1 HTTP/1.1\r\nHost: x\r\nReq-Id: gone\r\n"
+                + "Req-Kind: book\r\nReq-Deadline-Ms: 20000\r\nContent-Length: 200000\r\n\r\n");
+            gone.socket.getOutputStream().write(new byte[180_000]);
+            assertEquals("uploading", module.next());
+            gone.close();
+            assertEquals("gone", module.next());
+        }
+    }
+}
