A stop leaves nothing unanswered that the machine has accepted

When the listener closed, 0.6 s after SIGTERM, connections in its backlog were reset, with requests that the machine had taken (40 of 40 in ShutdownTest). A request of which a part had come then was lost, as the process ended once no whole one was open. Answers that end a connection, and drained ones at rest, were closed at once: over bytes that arrive just then that is a reset, which may take the answer along. A signal between listening and the hook's registration ended the process without any order. Ruled out: SIGHUP or a second SIGTERM during the stop.

The backlog is emptied before the listener closes, connections are shut for writing and then closed by their clients or after 1 s (at once where descriptors are short), nothing that comes behind the shutdown is handled, and the process ends when no connection is left. Of ShutdownTest's cases the backlog's and the half request's fail without this; the bytes behind the last answer do not on Linux, where closing a channel sends its end first. Dispatcher asserts that a request's answer is settled once.

--- a/balancer/src/main/java/junctionhead/net/ClientServer.java
+++ b/balancer/src/main/java/junctionhead/net/ClientServer.java
@@ -73,6 +73,9 @@
     private static final long BYTE_NS = 1_000_000_000L / 40_000;
     private static final long ANSWER_MS = 2_200;    // for a short answer to be taken in
     private static final long LINGER_MS = 4_000;    // for a client to take an answer in while it still sends
+    private static final long END_MS = 1_000;       // for a client to end a connection that has been shut
+    private static final long BACKLOG_MS = 2;       // between looks at who still waits to be accepted
+    private static final int BACKLOG_LOOKS = 50;
     private static final long DRAIN_FIRST_MS = 600; // after a drain's begin, until connections at rest go
     private static final long DRAIN_EVERY_MS = 400;
     // How long a newcomer that makes no progress keeps its place where there is no room: one that has sent
@@ -93,6 +96,7 @@
     private final Relay.Budget budget;
     private final Set<Client> idle = new LinkedHashSet<>(); // the longest idle first
     private final Set<Client> newcomers = new LinkedHashSet<>(); // no proper request yet, the stillest first
+    private final Set<Client> ending = new LinkedHashSet<>(); // shut, their clients' end awaited
     private Channel listener;
     private int open;
     private Future<?> again;                        // while new ones wait for room
@@ -104,6 +108,7 @@
     private Future<?> emptying;                     // the next look at connections that a drain leaves
     private Rehearsal rehearsal;                    // while it is on
     private Channel inside;                         // where a rehearsal reaches this node, or null
+    private Runnable whenEmpty;                     // runs once no connection is left, after a stop
 
     ClientServer(EventLoop loop, SettingsReader.Boot boot, Dispatcher dispatcher, Descriptors descriptors,
             BooleanSupplier shedIdleUpstream, Events events, Relay.Budget budget) {
@@ -219,13 +224,45 @@
         }
     }
 
-    /** Takes no more connections and drops those that hold no request. */
-    void close() {
+    /**
+     * Takes no more connections and shuts those that hold no request; {@code then} runs on the loop once none
+     * is left: each has its own bound.
+     */
+    void close(Runnable then) {
+        whenEmpty = then;
         if (accepting) {
             accepting = false;
+            closeListener(-1, BACKLOG_LOOKS);
+        } else {
+            shutResting();
+        }
+    }
+
+    // Closes it when a look has found nobody in its backlog: those would be reset, with what they have sent.
+    private void closeListener(long seen, int looks) {
+        if (listener != null && listener.isOpen() && seen != clients && looks > 0) {
+            listener.config().setAutoRead(true);    // whether there is room or not: nothing new comes after
+            long now = clients;
+            loop.schedule(() -> closeListener(now, looks - 1), BACKLOG_MS, TimeUnit.MILLISECONDS);
+            return;
+        }
+        if (listener != null) {
             listener.close();
         }
-        resting().forEach(c -> c.channel.close());
+        // The last that were accepted may have a request that has come already.
+        loop.schedule(this::shutResting, BACKLOG_MS, TimeUnit.MILLISECONDS);
+    }
+
+    private void shutResting() {
+        resting().forEach(Client::shut);
+        lookIfEmpty();
+    }
+
+    private void lookIfEmpty() {
+        if (open == 0 && whenEmpty != null) {
+            loop.execute(whenEmpty);
+            whenEmpty = null;
+        }
     }
 
     /** Empties the balancer: not ready, answers end their connections, and those at rest are closed soon. */
@@ -233,7 +270,7 @@
         if (!draining && !stopping) {
             draining = true;
             // Clients are sent here for a moment more: what they have begun to write meanwhile is heard.
-            emptying = loop.scheduleWithFixedDelay(() -> resting().forEach(c -> c.drop("drained")),
+            emptying = loop.scheduleWithFixedDelay(() -> resting().forEach(Client::shut),
                 DRAIN_FIRST_MS, DRAIN_EVERY_MS, TimeUnit.MILLISECONDS);
         }
     }
@@ -257,6 +294,11 @@
     // which cost their clients a new connection; at last new ones wait in the backlog, where clients wait
     // with them: it has to move on.
     private void makeRoom() {
+        while (descriptors.crowded(open) && !ending.isEmpty()) {
+            Client oldest = ending.iterator().next();
+            ending.remove(oldest);
+            oldest.channel.close();
+        }
         Client still = stillest();
         while (still != null && descriptors.crowded(open)) {
             still.drop("no request yet, and no room");
@@ -340,6 +382,7 @@
                 open--;
                 idle.remove(this);
                 newcomers.remove(this);
+                ending.remove(this);
                 requestCame();
                 ahead.forEach(FullHttpRequest::release);
                 ahead.clear();
@@ -350,11 +393,14 @@
                 if (taken != null) {
                     taken.gone();
                 }
-                if (!stopping) {
+                if (accepting || !stopping) {
                     makeRoom();
                 }
+                lookIfEmpty();
             });
-            makeRoom();
+            if (accepting || !stopping) {
+                makeRoom();
+            }
         }
 
         // Guards against peers that connect and send nothing, or never end what they begin: each would keep
@@ -402,6 +448,16 @@
             }
         }
 
+        /** Ends a connection: what still comes on it is not handled, its client sends it elsewhere. */
+        void shut() {
+            newcomers.remove(this);
+            idle.remove(this);
+            requestCame();
+            closing = true;
+            ending.add(this);
+            linger(END_MS);
+        }
+
         @Override
         protected void channelRead0(ChannelHandlerContext context, HttpObject part) {
             if (part instanceof HttpRequest start) {
@@ -681,7 +737,7 @@
                     stuck.cancel(false);
                 }
                 if (early && done.isSuccess()) {
-                    linger();
+                    linger(LINGER_MS);
                 } else {
                     written(stay && done.isSuccess());
                 }
@@ -695,7 +751,7 @@
 
         private void written(boolean stay) {
             if (!stay) {
-                channel.close();
+                shut();
             } else if (ahead.isEmpty()) {
                 answered();
             } else {
@@ -704,12 +760,18 @@
         }
 
         // Closed with input unread, the connection would be reset, and the answer lost with it.
-        private void linger() {
-            Future<?> end = loop.schedule(() -> channel.close(), LINGER_MS, TimeUnit.MILLISECONDS);
-            channel.closeFuture().addListener(closed -> end.cancel(false));
-            if (channel instanceof DuplexChannel duplex) {
-                duplex.shutdownOutput();
+        private void linger(long most) {
+            if (!channel.isActive() || !(channel instanceof DuplexChannel duplex)) {
+                channel.close();
+                return;
+            }
+            if (duplex.isOutputShutdown()) {
+                return;
             }
+            Future<?> end = loop.schedule(() -> channel.close(), most, TimeUnit.MILLISECONDS);
+            channel.closeFuture().addListener(closed -> end.cancel(false));
+            channel.config().setAutoRead(true);     // its client's end must be seen
+            duplex.shutdownOutput();
         }
 
         /** Passes a long answer on as it comes. */
@@ -775,7 +837,7 @@
             } else if (upload != null) {
                 upload();
             } else if (closing || stopping || draining) {
-                channel.close();
+                shut();
             } else if (receiving || decoder.holdsBytes()) {
                 receiving = true;
                 awaitRequest();
--- a/balancer/src/main/java/junctionhead/net/Dispatcher.java
+++ b/balancer/src/main/java/junctionhead/net/Dispatcher.java
@@ -264,10 +264,16 @@
         }
     }
 
+    // The one place where the final answer of a request is settled.
     private void close(Exchange x) {
+        decide(x);
+        settled();
+    }
+
+    private static void decide(Exchange x) {
+        assert !x.closed : "a second final answer for " + x.order.id();
         x.closed = true;
         x.guard.cancel(false);
-        settled();
     }
 
     private void settled() {
@@ -293,8 +299,7 @@
         if (a.timer != null) {
             a.timer.cancel(false);
         }
-        x.closed = true;
-        x.guard.cancel(false);
+        decide(x);
         x.answering = a;
         x.passing = true;
         x.body = body;
--- a/balancer/src/main/java/junctionhead/net/Node.java
+++ b/balancer/src/main/java/junctionhead/net/Node.java
@@ -21,8 +21,6 @@
 /** One real balancer: its start, its readiness and its orderly stop. */
 public final class Node {
     private static final long LINGER_MS = 600;      // after SIGTERM: clients go on coming for a while
-    private static final long FLUSH_MS = 20;        // for the last answers to leave
-
     private static final long HANDOVER_S = 10;      // from readiness until the old process has ended, at most
     private static final long WATCH_MS = 500;       // between looks at the configuration, without SIGHUP
     private static final long PUBLISH_MS = 100;     // between figures for operators
@@ -48,6 +46,7 @@
     private final CountDownLatch stopped = new CountDownLatch(1);
     private InetSocketAddress doorAt;
     private volatile boolean shared;                // the listening socket, with other processes
+    private volatile boolean failed;                // to listen
     private boolean hasList;
     private boolean rehearsed;
     private volatile Stats stats = Stats.NONE;      // as last published: all that the door's thread reads
@@ -174,6 +173,14 @@
             return 1;
         }
         boolean heard = false;
+        // Before it listens: from then on a signal to end may cross a request that has been taken.
+        Runtime.getRuntime().addShutdownHook(new Thread(() -> {
+            if (!node.failed) {
+                node.stop();
+            }
+            // Without this the exit code would tell of the signal, not of the orderly end.
+            Runtime.getRuntime().halt(node.failed ? 1 : 0);
+        }));
         try {
             heard = Hangup.on(() -> node.reload(environment));
         } catch (ReflectiveOperationException e) {
@@ -183,13 +190,9 @@
             at = node.start();
         } catch (Exception e) {     // sync() rethrows what bind failed with, whatever its type
             log.accept("can't listen on " + node.config.listen() + ": " + e.getMessage());
+            node.failed = true;
             return 1;
         }
-        Runtime.getRuntime().addShutdownHook(new Thread(() -> {
-            node.stop();
-            // Without this the exit code would tell of the signal, not of the orderly end.
-            Runtime.getRuntime().halt(0);
-        }));
         if (!heard) {
             log.accept("SIGHUP is ignored here since the start: looking at the configuration instead");
             node.watch(environment);
@@ -310,6 +313,10 @@
         return loop;
     }
 
+    ClientServer clients() {
+        return clients;
+    }
+
     // Ready once an upstream may be sent to: what was known from before will do until discovery answers.
     private void listed(Policy.ListKind kind, Targets targets) {
         dispatcher.listed(kind, targets);
@@ -346,9 +353,8 @@
             }
         });
         loop.schedule(() -> {
-            clients.close();
+            clients.close(() -> dispatcher.whenIdle(stopped::countDown));
             peers.close();
-            dispatcher.whenIdle(() -> loop.schedule(stopped::countDown, FLUSH_MS, TimeUnit.MILLISECONDS));
         }, LINGER_MS, TimeUnit.MILLISECONDS);
         await();
         log.accept("stopped: " + dispatcher.summary() + "; " + events);
--- a/balancer/src/test/java/junctionhead/MainTest.java
+++ b/balancer/src/test/java/junctionhead/MainTest.java
@@ -118,6 +118,31 @@
         Files.delete(config);
     }
 
+    /** From the first connection on it may have taken something: a signal just then is an orderly end too. */
+    @Test
+    @Timeout(60)
+    void sigtermAsItBeginsToListenAndOnceMoreIsAnOrderlyEnd() throws IOException, InterruptedException {
+        int port;
+        try (ServerSocket free = new ServerSocket(0, 1, InetAddress.getLoopbackAddress())) {
+            port = free.getLocalPort();
+        }
+        Path config = config("127.0.0.1:" + port);
+        Process process = serve(config.toString());
+        boolean listens = false;
+        while (!listens) {
+            try (Socket first = new Socket(InetAddress.getLoopbackAddress(), port)) {
+                listens = first.isConnected();
+            } catch (java.net.ConnectException e) {
+                assertTrue(process.isAlive());
+            }
+        }
+        process.destroy();
+        hangUp(process);
+        process.destroy();
+        assertEquals(0, process.waitFor());
+        Files.delete(config);
+    }
+
     @Test
     @Timeout(60)
     void sighupMovesToAnotherDiscoveryAndABadFileChangesNothing() throws IOException, InterruptedException {
--- /dev/null
+++ b/balancer/src/test/java/junctionhead/net/ShutdownTest.java
@@ -0,0 +1,114 @@
+package junctionhead.net;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertNull;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.io.BufferedInputStream;
+import java.io.IOException;
+import java.io.InputStream;
+import java.net.ConnectException;
+import java.net.Socket;
+import java.util.ArrayList;
+import java.util.List;
+import junctionhead.net.NodeTest.Client;
+import org.junit.jupiter.api.Test;
+
+/** What arrives, or has not left yet, as a balancer stops and closes its connections. */
+class ShutdownTest extends Crossing {
+    private Thread stop() {
+        Thread stop = new Thread(node::stop);
+        node = null;
+        stop.start();
+        return stop;
+    }
+
+    // Until the balancer says that it stops.
+    private void awaitStopping() throws IOException {
+        int ready = 200;
+        while (ready == 200) {
+            try (Client asks = new Client(at)) {
+                ready = asks.send("GET /-/ready HTTP/1.1\r\nHost: x\r\n\r\n").status();
+            }
+        }
+    }
+
+    // Until the balancer takes no more connections.
+    private void awaitClosed() throws IOException {
+        while (true) {
+            try (Socket socket = new Socket(at.getAddress(), at.getPort())) {
+                assertTrue(socket.isConnected());
+            } catch (ConnectException e) {
+                return;
+            }
+        }
+    }
+
+    /** A close over unread bytes would reset the connection; what comes behind the end is not sent on. */
+    @Test
+    void bytesThatArriveAsTheLastAnswerIsWrittenTakeNothingWithThem() throws Exception {
+        start();
+        module.server = null;
+        Node stopped = node;
+        Client client = new Client(at).send(request("r1"));
+        taken();
+        Thread stop = stop();
+        awaitStopping();
+        Stall stall = new Stall(stopped.loop(), () -> module.actions.refuse(module.taken, 0));
+        client.send(request("late"));
+        stall.release();
+        assertEquals(503, client.status());
+        assertNull(client.answer());                // an end, no reset
+        client.close();
+        stop.join();
+        assertTrue(module.requests.isEmpty());
+    }
+
+    @Test
+    void whoseRequestHasBegunWhenTheBalancerStopsIsAnswered() throws Exception {
+        start();
+        try (Client client = new Client(at)) {
+            client.send(request("r1").substring(0, 40));
+            Thread stop = stop();
+            awaitClosed();
+            client.send(request("r1").substring(40));
+            serves(client, "r1");
+            assertNull(client.answer());
+            stop.join();
+        }
+    }
+
+    /** They have been accepted by the machine, if not yet by the process. */
+    @Test
+    void whoWaitsToBeAcceptedWhenTheListenerClosesIsAnswered() throws Exception {
+        start();
+        List<Client> clients = new ArrayList<>();
+        Stall stall = new Stall(node.loop(), () -> node.clients().close(() -> { }));
+        for (int i = 0; i < 40; i++) {
+            clients.add(new Client(at).send(request("r" + i)));
+        }
+        stall.release();
+        for (int i = 0; i < clients.size(); i++) {
+            upstream.next().answer(200, "", "ok");
+        }
+        for (Client client : clients) {
+            assertEquals(200, client.status());
+            client.close();
+        }
+    }
+
+    /** Nobody reads what it gets, so that its end is awaited for no longer than its bound. */
+    @Test
+    void aStopWaitsForNoClientThatNeverEndsItsConnection() throws Exception {
+        start();
+        try (Client client = new Client(at)) {
+            client.send(request("r1"));
+            serves(client, "r1");
+            Thread stop = stop();
+            stop.join(20_000);
+            assertTrue(!stop.isAlive());
+            InputStream in = new BufferedInputStream(client.socket.getInputStream());
+            assertEquals(-1, in.read());
+        }
+    }
+}
