Classes and tenants are known by names that hold spaces; a bad class is named

Names in the settings have spaces and commas replaced, as on the simulator's wire, and were compared with the headers as they came: all requests of a class 'kind 0' got a 400. An impossible figure of a class was named without the class.

--- a/balancer/src/main/java/junctionhead/SettingsReader.java
+++ b/balancer/src/main/java/junctionhead/SettingsReader.java
@@ -64,13 +64,7 @@
         int kinds = text("Kinds", "").split(",").length;
         List<Policy.RequestClass> classes = new ArrayList<>();
         for (int i = 0; i < count("Classes", true); i++) {
-            String at = "Classes." + i + ".";
-            classes.add(new Policy.RequestClass(word(Policy.Effect.class, at + "Idempotency", null),
-                word(Policy.Scope.class, at + "DedupScope", "all"), whole(at + "KeyTtl", 0L),
-                whole(at + "GoalTime", null), whole(at + "GiveUp", null), decimal(at + "AimStretch", 0.0),
-                decimal(at + "Gain", 1.0), decimal(at + "LateShare", 0.0), flag(at + "Stream", false),
-                flag(at + "InOrder", false), indexes(at + "AllowedIn", zones),
-                indexes(at + "RunsOn", kinds)));
+            classes.add(requestClass("Classes." + i, zones, kinds));
         }
         List<Policy.Tenant> tenants = new ArrayList<>();
         for (int i = 0; i < count("Realms", false); i++) {
@@ -100,6 +94,20 @@
             bounds, whole("Quantum", null));
     }
 
+    private Policy.RequestClass requestClass(String path, int zones, int kinds) {
+        String at = path + ".";
+        try {
+            return new Policy.RequestClass(word(Policy.Effect.class, at + "Idempotency", null),
+                word(Policy.Scope.class, at + "DedupScope", "all"), whole(at + "KeyTtl", 0L),
+                whole(at + "GoalTime", null), whole(at + "GiveUp", null), decimal(at + "AimStretch", 0.0),
+                decimal(at + "Gain", 1.0), decimal(at + "LateShare", 0.0), flag(at + "Stream", false),
+                flag(at + "InOrder", false), indexes(at + "AllowedIn", zones),
+                indexes(at + "RunsOn", kinds));
+        } catch (IllegalArgumentException e) {
+            throw complaint.apply(path, e.getMessage());
+        }
+    }
+
     private String text(String path, String otherwise) {
         String value = values.get(path);
         if (value != null && !value.equals("-")) {
--- a/balancer/src/main/java/junctionhead/net/ClientServer.java
+++ b/balancer/src/main/java/junctionhead/net/ClientServer.java
@@ -943,7 +943,7 @@
         if (headers.get("Req-Id", "").isEmpty()) {
             throw new IllegalArgumentException("no Req-Id");
         }
-        int number = boot.classes().indexOf(headers.get("Req-Kind", ""));
+        int number = boot.classes().indexOf(Config.plain(headers.get("Req-Kind", "")));
         if (number < 0) {
             throw new IllegalArgumentException("unknown Req-Kind");
         }
@@ -959,7 +959,7 @@
         }
         String path = request.uri().split("[?#]", 2)[0];
         String key = path.substring(path.lastIndexOf('/') + 1);
-        int tenant = Math.max(0, boot.tenants().indexOf(headers.get("Req-Owner", "")));
+        int tenant = Math.max(0, boot.tenants().indexOf(Config.plain(headers.get("Req-Owner", ""))));
         return new Order(request.method(), request.uri(), endToEnd(headers), body, number, tenant,
             key.isEmpty() ? null : key, left * 1000, number(headers.get("Req-Cost"), -1),
             "1".equals(headers.get("Req-Retry")), upload, length);
