--- a/balancer/src/test/java/junctionhead/net/ShutdownTest.java
+++ b/balancer/src/test/java/junctionhead/net/ShutdownTest.java
@@ -9,6 +9,7 @@
 import java.io.InputStream;
 import java.net.ConnectException;
 import java.net.Socket;
+import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
 import java.util.List;
 import junctionhead.net.NodeTest.Client;
@@ -111,4 +112,41 @@
             assertEquals(-1, in.read());
         }
     }
+
+    /** More of it than the system takes at once: the rest waits in the process. */
+    @Test
+    void theLastAnswerReachesASlowReaderBeforeTheProcessEnds() throws Exception {
+        start();
+        Thread stop;
+        try (Socket slow = new Socket()) {
+            slow.setReceiveBufferSize(1024);
+            slow.connect(at);
+            slow.getOutputStream().write(request("r1").getBytes(StandardCharsets.ISO_8859_1));
+            byte[] body = new byte[64 * 1024];
+            upstream.next().answer(200, "", body);
+            assertEquals("OK closed", module.next());
+            stop = stop();
+            awaitClosed();
+            InputStream in = new BufferedInputStream(slow.getInputStream());
+            assertTrue(FakeUpstream.head(in).startsWith("HTTP/1.1 200"));
+            assertEquals(body.length, in.readAllBytes().length);
+        }
+        stop.join();
+    }
+
+    /** Its upstream hangs; who comes just then is owed an answer in time all the same. */
+    @Test
+    void deadlinesHoldToTheEndOfADrain() throws Exception {
+        start();
+        Thread stop = stop();
+        awaitStopping();
+        try (Client late = new Client(at)) {
+            long sent = System.nanoTime();
+            late.send(request("r1").replace("20000", "900"));
+            upstream.next();
+            assertEquals(502, late.status());
+            assertTrue(System.nanoTime() - sent < 950_000_000);
+        }
+        stop.join();
+    }
 }
