A watch's first answer is awaited for a quarter of the drains' grace

Now it is a quarter of the grace, 0.1 to 0.7 s, with a pause of a quarter of that. DiscoveryTest: asked again within the grace; fails at 7 s.

--- a/balancer/src/main/java/junctionhead/net/Discovery.java
+++ b/balancer/src/main/java/junctionhead/net/Discovery.java
@@ -43,9 +43,12 @@
     // A line comes every 2 s. What a watch misses that has fallen silent counts as told 6 s later: by then
     // another one has to have brought it, however short the grace of drains is.
     private static final long SILENCE_MS = 4_800;
-    // Where lists are pushed the agent answers at once; asked, discovery may let a call wait its turn.
-    private static final long FIRST_MS = 700;
-    private static final long AGAIN_MS = 200;       // after a failure, where lists are pushed
+    // Where lists are pushed the agent answers at once, or is silent while discovery is down. What it gets at
+    // the return counts as told at once: calls are repeated within a part of the grace of drains.
+    private static final long FIRST_MOST_MS = 700;
+    private static final long FIRST_LEAST_MS = 100;
+    private static final int FIRST_PART = 4;
+    private static final int AGAIN_PART = 4;        // of that time, as a pause after a failure
 
     private final EventLoop loop;
     private InetSocketAddress address;
@@ -53,6 +56,7 @@
     private final BiConsumer<ListKind, Targets> news;
     private final Consumer<String> log;
     private final boolean pushed;
+    private final long firstMs;                     // for a watch's first answer, where lists are pushed
     private long rev;
     private Call watch;
 
@@ -66,6 +70,8 @@
         this.news = news;
         this.log = log;
         this.pushed = boot.settings().discovery() == Policy.Discovery.PUSH;
+        long grace = boot.settings().bounds().drainGrace() / 1000;
+        this.firstMs = Math.max(FIRST_LEAST_MS, Math.min(FIRST_MOST_MS, grace / FIRST_PART));
     }
 
     /** Begins to watch unasked where lists are pushed. */
@@ -138,7 +144,7 @@
                     ask.headers().set(HttpHeaderNames.HOST,
                         address.getAddress().getHostAddress() + ":" + address.getPort());
                     channel.writeAndFlush(ask);
-                    await(pushed ? FIRST_MS : SILENCE_MS);
+                    await(pushed ? firstMs : SILENCE_MS);
                 } else {
                     ended();
                 }
@@ -231,12 +237,12 @@
                 news.accept(ListKind.FAILED, null);
             } else if (watching) {
                 // What the agent has counts as told, watched or not: a watch that worked is renewed at once.
-                boolean worked = answered && System.nanoTime() - openedAt > AGAIN_MS * 1_000_000;
+                boolean worked = answered && System.nanoTime() - openedAt > firstMs * 1_000_000;
                 loop.schedule(() -> {
                     if (watch == null) {
                         watch(true);
                     }
-                }, worked ? 0 : AGAIN_MS, TimeUnit.MILLISECONDS);
+                }, worked ? 0 : firstMs / AGAIN_PART, TimeUnit.MILLISECONDS);
             }
         }
     }
--- a/balancer/src/test/java/junctionhead/net/DiscoveryTest.java
+++ b/balancer/src/test/java/junctionhead/net/DiscoveryTest.java
@@ -71,11 +71,13 @@
         return String.valueOf(news.poll(20, TimeUnit.SECONDS));
     }
 
-    /** An agent answers at once: one that does not is asked again, and what the old call brings is late. */
+    /** As while discovery is down: what the agent gets at its return has to be heard within the grace. */
     @Test
-    void aWatchThatIsSilentFromItsFirstByteIsOpenedAnew() throws Exception {
+    void aWatchThatIsSilentFromItsFirstByteIsOpenedAnewWithinTheGraceOfDrains() throws Exception {
         FakeUpstream.Got silent = watchFrom(41);
+        long asked = System.nanoTime();
         FakeUpstream.Got next = watchFrom(41);
+        assertTrue(System.nanoTime() - asked < 1_000_000_000L);
         assertTrue(silent.closedByPeer());
         next.raw(HEAD + chunk(list(51, true, "new") + "\n"));
         assertEquals("COMPLETE 51 [new]", heard());
