--- a/balancer/src/main/java/junctionhead/net/ClientServer.java
+++ b/balancer/src/main/java/junctionhead/net/ClientServer.java
@@ -66,7 +66,7 @@
     static final int WHOLE_MOST = Relay.AHEAD;      // of a body that is handed over only when it is whole
     static final int BODY_MOST = 32 * 1024 * 1024;
     private static final int READ_MOST = 32 * 1024; // bytes at a time
-    private static final int READS_MOST = 16;       // in one turn, of a connection
+    private static final int READS_MOST = 4;        // in one turn: the longest whole request, and its end
     private static final int SEND_MOST = 128 * 1024; // bytes of a long answer that the system holds
     // For a first request, or one that has begun, to be whole; each byte of a body gives it a little more.
     private static final long REQUEST_NS = 2_400_000_000L;
@@ -270,7 +270,7 @@
         if (!draining && !stopping) {
             draining = true;
             // Clients are sent here for a moment more: what they have begun to write meanwhile is heard.
-            emptying = loop.scheduleWithFixedDelay(() -> resting().forEach(Client::shut),
+            emptying = loop.scheduleWithFixedDelay(() -> resting().forEach(Client::drained),
                 DRAIN_FIRST_MS, DRAIN_EVERY_MS, TimeUnit.MILLISECONDS);
         }
     }
@@ -448,6 +448,11 @@
             }
         }
 
+        void drained() {
+            events.tell(Events.Kind.DROPPED, null, () -> "drained, " + this);
+            shut();
+        }
+
         /** Ends a connection: what still comes on it is not handled, its client sends it elsewhere. */
         void shut() {
             newcomers.remove(this);
