A watch whose connection does not come up is tried anew within the grace as well

A silent agent may take nothing in at all: the connect waited for 2 s. Its bound is that of a first answer now.

--- a/balancer/src/main/java/junctionhead/net/Discovery.java
+++ b/balancer/src/main/java/junctionhead/net/Discovery.java
@@ -124,7 +124,7 @@
         }
 
         void open() {
-            await(SILENCE_MS);
+            awaitFirst();
             ChannelFuture connected = new Bootstrap().group(loop).channel(NioSocketChannel.class)
                 .option(ChannelOption.TCP_NODELAY, true)
                 .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, CONNECT_MS)
@@ -144,13 +144,17 @@
                     ask.headers().set(HttpHeaderNames.HOST,
                         address.getAddress().getHostAddress() + ":" + address.getPort());
                     channel.writeAndFlush(ask);
-                    await(pushed ? firstMs : SILENCE_MS);
+                    awaitFirst();
                 } else {
                     ended();
                 }
             });
         }
 
+        private void awaitFirst() {
+            await(pushed ? firstMs : SILENCE_MS);
+        }
+
         // Guards against a discovery that is cut off: its connection stays open and silent.
         private void await(long most) {
             if (silence != null) {
--- a/balancer/src/test/java/junctionhead/net/AttemptsTest.java
+++ b/balancer/src/test/java/junctionhead/net/AttemptsTest.java
@@ -47,6 +47,9 @@
                 case "reset" -> first.reset();
                 default -> first.raw(arriving);
             }
+            if (first.socket().isClosed()) {
+                upstream.awaitClosed(first);
+            }
             stall.release();
             assertEquals(2, serves(client, "r2").connection());
             assertEquals("OK closed", module.next());
--- a/balancer/src/test/java/junctionhead/net/DiscoveryTest.java
+++ b/balancer/src/test/java/junctionhead/net/DiscoveryTest.java
@@ -83,6 +83,22 @@
         assertEquals("COMPLETE 51 [new]", heard());
     }
 
+    /** As of an agent that takes nothing in: a connect that waits may be noticed seconds after it is back. */
+    @Test
+    void aWatchWhoseConnectionDoesNotComeUpIsTriedAnewWithinTheGraceOfDrains() throws Exception {
+        watchFrom(41);
+        try (ClosedDoor down = new ClosedDoor()) {
+            loop.execute(() -> discovery.move(Targets.address(down.address())));
+            long lost = System.nanoTime() + 1_100_000_000;      // its first packets have been dropped by then
+            while (System.nanoTime() < lost) {
+                Thread.onSpinWait();
+            }
+            long back = System.nanoTime();
+            assertTrue(FakeUpstream.head(down.open().getInputStream()).contains("watch=1&from=41"));
+            assertTrue(System.nanoTime() - back < 700_000_000L);
+        }
+    }
+
     /** What it misses counts as told 6 s after it fell silent, whether that is amid a list or between two. */
     @ParameterizedTest
     @ValueSource(strings = {"", "{\"rev\":43,\"all\":fal"})
--- a/balancer/src/test/java/junctionhead/net/FakeUpstream.java
+++ b/balancer/src/test/java/junctionhead/net/FakeUpstream.java
@@ -180,6 +180,14 @@
         }
     }
 
+    /**
+     * Waits until a connection that the test has closed is closed for the system too: while its reader still
+     * sits in a read, neither an end nor a reset has left.
+     */
+    void awaitClosed(Got got) throws InterruptedException {
+        readers.get(got.connection()).join(20_000);
+    }
+
     int connections() {
         return connections.get();
     }
