Floods that are gone leave nothing behind, as a test

Twelve clients each send a line without end, two thousand requests or a part of a long body and leave; proper clients are served amid them and after, no connection and no owed answer is left (LeavingTest).

--- a/balancer/src/main/java/junctionhead/net/Node.java
+++ b/balancer/src/main/java/junctionhead/net/Node.java
@@ -317,6 +317,11 @@
         return clients;
     }
 
+    /** Final answers that are owed; on the loop's thread only. */
+    int owed() {
+        return dispatcher.owed();
+    }
+
     // Ready once an upstream may be sent to: what was known from before will do until discovery answers.
     private void listed(Policy.ListKind kind, Targets targets) {
         dispatcher.listed(kind, targets);
--- a/balancer/src/test/java/junctionhead/net/LeavingTest.java
+++ b/balancer/src/test/java/junctionhead/net/LeavingTest.java
@@ -3,6 +3,7 @@
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
+import java.io.IOException;
 import java.net.Socket;
 import java.util.ArrayList;
 import java.util.List;
@@ -110,4 +111,39 @@
             assertEquals("gone", module.next());
         }
     }
+
+    /** Much at once and gone: a line without end, requests ahead of their answers, a body that never is whole. */
+    @ParameterizedTest
+    @ValueSource(strings = {"line", "requests", "body"})
+    void floodsThatAreGoneLeaveNothingBehindAndProperClientsAreServed(String kind) throws Exception {
+        start();
+        String flood = switch (kind) {
+            case "line" -> "GET /" + "x".repeat(1 << 20);
+            case "requests" -> request("flood").repeat(2_000);
+            default -> "POST /api/k1 HTTP/1.1\r\nHost: x\r\nReq-Id: flood\r\nReq-Kind: book\r\n"
+                + "Req-Deadline-Ms: 20000\r\nContent-Length: 30000000\r\n\r\n" + "x".repeat(1 << 20);
+        };
+        module.server = null;                       // what is taken of them is held
+        for (int i = 0; i < 12; i++) {
+            Client gone = new Client(at);
+            try {
+                gone.send(flood);
+            } catch (IOException e) {
+                assertEquals("line", kind);         // turned away before all of it was sent
+            }
+            gone.close();
+        }
+        try (Client proper = new Client(at)) {      // amid them
+            assertEquals(200, proper.send("GET /-/ready HTTP/1.1\r\nHost: x\r\n\r\n").status());
+        }
+        String left = "";
+        while (!left.startsWith("0 clients'")) {    // or the test's own time is over
+            left = node.loop().submit(() -> node.clients().toString()).get();
+        }
+        assertEquals(0, node.loop().submit(() -> node.owed()).get());
+        module.server = "s1";
+        try (Client proper = new Client(at).send(request("proper"))) {
+            serves(proper, "proper");
+        }
+    }
 }
