A client that leaves as its answer is written is not awaited for ever

Its connection is closed by the write that fails, and only then was it put among those whose end is awaited: one entry was kept for good each time. LeavingTest: one was left before, none is now.

--- a/balancer/src/main/java/junctionhead/net/ClientServer.java
+++ b/balancer/src/main/java/junctionhead/net/ClientServer.java
@@ -182,7 +182,8 @@
 
     @Override
     public String toString() {
-        return open + " clients' (" + newcomers.size() + " new, " + idle.size() + " at rest)";
+        return open + " clients' (" + newcomers.size() + " new, " + idle.size() + " at rest, "
+            + ending.size() + " shut)";
     }
 
     /** Whether it would say so to a client that asks. */
@@ -459,8 +460,10 @@
             idle.remove(this);
             requestCame();
             closing = true;
-            ending.add(this);
-            linger(END_MS);
+            if (channel.isActive()) {
+                ending.add(this);
+                linger(END_MS);
+            }
         }
 
         @Override
--- a/balancer/src/test/java/junctionhead/net/LeavingTest.java
+++ b/balancer/src/test/java/junctionhead/net/LeavingTest.java
@@ -84,6 +84,24 @@
         }
     }
 
+    /** The answer meets a reset that the loop has not read yet: its connection is closed by the write. */
+    @Test
+    void whoLeavesAsItsAnswerIsWrittenLeavesNothingBehind() throws Exception {
+        start();
+        module.server = null;
+        Client gone = new Client(at).send(request("gone"));
+        taken();
+        Stall stall = new Stall(node.loop(), () -> module.actions.refuse(module.taken, 0));
+        gone.socket.setSoLinger(true, 0);
+        gone.close();
+        stall.release();
+        String left = "";
+        while (!left.startsWith("0 clients'")) {
+            left = node.loop().submit(() -> node.clients().toString()).get();
+        }
+        assertEquals("0 clients' (0 new, 0 at rest, 0 shut)", left);
+    }
+
     @Test
     void whoLeavesBehindOneThatIsServedIsSentNothingFor() throws Exception {
         start();
