--- a/balancer/src/main/java/junctionhead/net/Discovery.java
+++ b/balancer/src/main/java/junctionhead/net/Discovery.java
@@ -172,8 +172,11 @@
 
         /** A part of the answer has come; an empty line between lists says that nothing has changed. */
         void heard(ByteBuf part) {
+            if (!objects.isBetween()) {
+                return;                             // a list that never ends must not pass for news
+            }
             await(SILENCE_MS);
-            if (watching && !answered && !over && objects.isBetween() && isBlank(part)) {
+            if (watching && !answered && !over && isBlank(part)) {
                 accept(new Targets(rev, false, List.of()));
             }
         }
--- a/balancer/src/test/java/junctionhead/net/DiscoveryTest.java
+++ b/balancer/src/test/java/junctionhead/net/DiscoveryTest.java
@@ -7,6 +7,7 @@
 import io.netty.channel.EventLoop;
 import io.netty.channel.nio.NioEventLoopGroup;
 import java.io.IOException;
+import java.io.UncheckedIOException;
 import java.util.HashMap;
 import java.util.Map;
 import java.util.concurrent.BlockingQueue;
@@ -115,6 +116,24 @@
         assertTrue(System.nanoTime() - silent < 6_000_000_000L);
     }
 
+    /** Half a list, and the empty lines that come while nothing changes: what follows would be lost in it. */
+    @Test
+    void aListThatNeverEndsIsGivenUpThoughLinesGoOn() throws Exception {
+        FakeUpstream.Got watch = watchFrom(41);
+        watch.raw(HEAD + chunk(list(42, true, "a") + "\n"));
+        assertEquals("COMPLETE 42 [a]", heard());
+        watch.raw(chunk("{\"rev\":43,\n"));
+        loop.scheduleWithFixedDelay(() -> {
+            try {
+                watch.raw(chunk("\n"));
+            } catch (IOException e) {
+                throw new UncheckedIOException(e);  // it has been closed: this task ends
+            }
+        }, 0, 500, TimeUnit.MILLISECONDS);
+        watchFrom(42).raw(HEAD + chunk(list(43, false, "b") + "\n"));
+        assertEquals("PARTIAL 43 [b]", heard());
+    }
+
     @Test
     void aWatchThatIsResetAsAChangeIsOnItsWayGoesOnFromTheLastWholeOne() throws Exception {
         FakeUpstream.Got watch = watchFrom(41);
--- a/balancer/src/test/java/junctionhead/net/LeavingTest.java
+++ b/balancer/src/test/java/junctionhead/net/LeavingTest.java
@@ -130,7 +130,7 @@
         }
     }
 
-    /** Much at once and gone: a line without end, requests ahead of their answers, a body that never is whole. */
+    /** Much at once and gone: a line without end, requests ahead of answers, a body that never is whole. */
     @ParameterizedTest
     @ValueSource(strings = {"line", "requests", "body"})
     void floodsThatAreGoneLeaveNothingBehindAndProperClientsAreServed(String kind) throws Exception {
