--- a/balancer/src/test/java/junctionhead/net/DiscoveryTest.java
+++ b/balancer/src/test/java/junctionhead/net/DiscoveryTest.java
@@ -71,16 +71,34 @@
         return String.valueOf(news.poll(20, TimeUnit.SECONDS));
     }
 
-    /** An agent answers at once: one that does not is asked again, and what the old call brings is late. */
+    /** As while discovery is down: what the agent gets at its return has to be heard within the grace. */
     @Test
-    void aWatchThatIsSilentFromItsFirstByteIsOpenedAnew() throws Exception {
+    void aWatchThatIsSilentFromItsFirstByteIsOpenedAnewWithinTheGraceOfDrains() throws Exception {
         FakeUpstream.Got silent = watchFrom(41);
+        long asked = System.nanoTime();
         FakeUpstream.Got next = watchFrom(41);
+        assertTrue(System.nanoTime() - asked < 1_000_000_000L);
         assertTrue(silent.closedByPeer());
         next.raw(HEAD + chunk(list(51, true, "new") + "\n"));
         assertEquals("COMPLETE 51 [new]", heard());
     }
 
+    /** As of an agent that takes nothing in: a connect that waits may be noticed seconds after it is back. */
+    @Test
+    void aWatchWhoseConnectionDoesNotComeUpIsTriedAnewWithinTheGraceOfDrains() throws Exception {
+        watchFrom(41);
+        try (ClosedDoor down = new ClosedDoor()) {
+            loop.execute(() -> discovery.move(Targets.address(down.address())));
+            long lost = System.nanoTime() + 1_100_000_000;      // its first packets have been dropped by then
+            while (System.nanoTime() < lost) {
+                Thread.onSpinWait();
+            }
+            long back = System.nanoTime();
+            assertTrue(FakeUpstream.head(down.open().getInputStream()).contains("watch=1&from=41"));
+            assertTrue(System.nanoTime() - back < 700_000_000L);
+        }
+    }
+
     /** What it misses counts as told 6 s after it fell silent, whether that is amid a list or between two. */
     @ParameterizedTest
     @ValueSource(strings = {"", "{\"rev\":43,\"all\":fal"})
