--- a/balancer/src/test/java/junctionhead/net/DiscoveryTest.java
+++ b/balancer/src/test/java/junctionhead/net/DiscoveryTest.java
@@ -68,7 +68,7 @@
         return watch;
     }
 
-    /** Answers watches from that revision until one has heard: a call is soon given up while a test is slow. */
+    /** Answers the newest watch from there until one has heard: a call is given up while a test is slow. */
     private FakeUpstream.Got answers(int rev, String text, String expected) throws Exception {
         while (true) {
             FakeUpstream.Got watch = watchFrom(rev);
