Cold servers: the budget holds for the sum of all balancers, also after a quiet time

Cause: a balancer whose part of a cold server's budget is less than one request at a time saved up a whole one (Warming.hasBudget: room for max(1, ...)), and kept it for as long as nothing was asked of it. After a quiet time each of n balancers held one, and a burst sent as many at once as there are balancers.

Change: a saved request is kept for two thirds of the window in which the server falls, then lost and saved anew. What all balancers hold at once is at most two thirds of a window's budget, whatever their number; the long-run rate is the same where traffic uses it.

--- a/balancer/src/main/java/junctionhead/Warming.java
+++ b/balancer/src/main/java/junctionhead/Warming.java
@@ -40,8 +40,11 @@
         }
         // Answers per second that a warm server of its weight gives this balancer.
         double rate = part * MARGIN * Math.max(least, warmRate * n.server.weight());
-        n.tokens = Math.min(Math.max(1, rate * settings.bounds().fallWindow() / 3e6),
-            n.tokens + rate * (now - n.tokensAt) / 1e6);
+        double most = rate * settings.bounds().fallWindow() / 3e6;
+        double tokens = n.tokens + rate * (now - n.tokensAt) / 1e6;
+        // Less than one at a time: one is kept for two thirds of the window, then lost. Guards against as
+        // many at once as there are balancers, each of which had saved one while there was little to do.
+        n.tokens = most >= 1 ? Math.min(most, tokens) : tokens % (1 + 2 * most);
         n.tokensAt = now;
         return n.tokens >= 1;
     }
