Peers' datagrams: the sender's number is looked up, not searched for

Need: each datagram searched the list of all peers for its sender (PeerLink, indexOf): at 1,600 peers 800 comparisons of addresses a datagram. Change: a map from address to number; of two peers with one address the first counts, as before.

--- a/balancer/src/main/java/junctionhead/net/PeerLink.java
+++ b/balancer/src/main/java/junctionhead/net/PeerLink.java
@@ -14,6 +14,8 @@
 import io.netty.channel.socket.nio.NioDatagramChannel;
 import io.netty.util.concurrent.Future;
 import java.net.InetSocketAddress;
+import java.util.HashMap;
+import java.util.Map;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
 
@@ -35,6 +37,7 @@
 
     private final EventLoop loop;
     private final Config.Peers peers;
+    private final Map<InetSocketAddress, Integer> numbers = new HashMap<>(); // each datagram is looked up
     private final Listener listener;
     private final Events events;
     private Channel channel;                        // null until bound, and where there is no peer
@@ -44,6 +47,9 @@
     PeerLink(EventLoop loop, Config.Peers peers, Listener listener, Events events) {
         this.loop = loop;
         this.peers = peers;
+        for (int i = peers.all().size() - 1; i >= 0; i--) {
+            numbers.put(peers.all().get(i), i);
+        }
         this.listener = listener;
         this.events = events;
     }
@@ -125,8 +131,8 @@
             if (packet.sender().equals(peers.listen())) {
                 return;                             // to everyone was to this one too
             }
-            int from = peers.all().indexOf(packet.sender());
-            if (from < 0 || packet.content().readableBytes() > MESSAGE_MOST) {
+            Integer from = numbers.get(packet.sender());
+            if (from == null || packet.content().readableBytes() > MESSAGE_MOST) {
                 events.tell(Events.Kind.STRAY, null, () -> packet.content().readableBytes() + " bytes from "
                     + packet.sender());
                 return;
