--- /dev/null
+++ b/lab/src/main/java/junctionhead/lab/CapacityCommand.java
@@ -0,0 +1,32 @@
+package junctionhead.lab;
+
+import java.io.IOException;
+import java.nio.file.Path;
+import java.util.concurrent.Callable;
+import junctionhead.lab.capacity.CapacityOptions;
+import junctionhead.lab.capacity.CapacityRun;
+import picocli.CommandLine.Command;
+import picocli.CommandLine.Mixin;
+import picocli.CommandLine.Model.CommandSpec;
+import picocli.CommandLine.Option;
+import picocli.CommandLine.Spec;
+
+/** Measures what the control of a fleet costs, with hollow balancers. */
+@Command(name = "capacity", mixinStandardHelpOptions = true,
+    description = "Fleets of hollow balancers (module, membership and duties without a data path): "
+        + "datagrams, CPU, heap and how soon news are known, by the fleet's size. Exit: 0, 2 wrong use.")
+final class CapacityCommand implements Callable<Integer> {
+    @Spec
+    private CommandSpec spec;
+    @Mixin
+    private CapacityOptions options;
+    @Option(names = "--out", paramLabel = "FILE", description = "Where the figures go, as JSON.")
+    private Path out;
+
+    @Override
+    public Integer call() throws IOException {
+        CapacityRun.play(options, spec.commandLine().getParseResult().originalArgs(), out,
+            System.out::println);
+        return Lab.OK;
+    }
+}
--- /dev/null
+++ b/lab/src/main/java/junctionhead/lab/capacity/CapacityRun.java
@@ -0,0 +1,45 @@
+package junctionhead.lab.capacity;
+
+import java.io.IOException;
+import java.lang.management.ManagementFactory;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.function.Consumer;
+
+/** One call of the command, from its words to its file. */
+public final class CapacityRun {
+    private static final String JAR = "lab/target/junctionhead-lab.jar";
+
+    private CapacityRun() { }
+
+    /**
+     * Plays what is asked for; {@code progress} hears a line for each trial.
+     *
+     * @param words of the command line, after the command
+     * @param out null: the figures go nowhere
+     * @throws IOException where the words are wrong or the file can't be written, in one line
+     */
+    public static void play(CapacityOptions options, List<String> words, Path out, Consumer<String> progress)
+            throws IOException {
+        Plan plan = Plan.of(options);
+        Map<String, Double> figures = new Capacity(plan, SimulatedDrive::new, progress).play();
+        if (out != null) {
+            new CapacityReport(command(words), plan.seeds(), figures).write(out);
+        }
+    }
+
+    // With what changes its figures; folders of the machine are left out.
+    private static String command(List<String> words) {
+        List<String> all = new ArrayList<>(List.of("java"));
+        ManagementFactory.getRuntimeMXBean().getInputArguments().stream().filter(a -> a.startsWith("-X"))
+            .forEach(all::add);
+        all.addAll(List.of("-jar", JAR));
+        if (words.isEmpty() || !words.get(0).equals("capacity")) {
+            all.add("capacity");
+        }
+        all.addAll(words);
+        return String.join(" ", all);
+    }
+}
--- /dev/null
+++ b/lab/src/main/java/junctionhead/lab/capacity/Part.java
@@ -0,0 +1,4 @@
+package junctionhead.lab.capacity;
+
+/** What hollow balancers consist of. */
+enum Part { MODULE, MEMBERSHIP, DUTIES }
