Capacity: hollow balancers over loopback, and real ones among them

Need: simulated time says nothing of sockets, and hollow balancers must be shown to cost what real ones do.

--- a/lab/src/main/java/junctionhead/lab/capacity/CapacityRun.java
+++ b/lab/src/main/java/junctionhead/lab/capacity/CapacityRun.java
@@ -24,7 +24,9 @@
     public static void play(CapacityOptions options, List<String> words, Path out, Consumer<String> progress)
             throws IOException {
         Plan plan = Plan.of(options);
-        Map<String, Double> figures = new Capacity(plan, SimulatedDrive::new, progress).play();
+        Map<String, Double> figures = new Capacity(plan, options.sockets
+            ? (site, seed) -> new SocketDrive(site, seed, plan.real()) : SimulatedDrive::new, progress)
+            .play();
         if (out != null) {
             new CapacityReport(command(words), plan.seeds(), figures).write(out);
         }
--- a/lab/src/main/java/junctionhead/lab/capacity/Drive.java
+++ b/lab/src/main/java/junctionhead/lab/capacity/Drive.java
@@ -1,6 +1,8 @@
 package junctionhead.lab.capacity;
 
+import java.io.IOException;
 import java.util.List;
+import java.util.Map;
 import java.util.function.IntPredicate;
 import java.util.function.Supplier;
 import junctionhead.Policy;
@@ -53,6 +55,15 @@
 
     Notices notices();
 
+    /**
+     * Figures of balancers that are no hollow ones, over so many seconds.
+     *
+     * @throws IOException where one of them has ended
+     */
+    default Map<String, Double> others(double seconds) throws IOException {
+        return Map.of();
+    }
+
     @Override
     void close();
 }
--- a/lab/src/main/java/junctionhead/lab/capacity/Plan.java
+++ b/lab/src/main/java/junctionhead/lab/capacity/Plan.java
@@ -37,6 +37,9 @@
         if (plan.real > 0 && !o.sockets) {
             throw new IOException("--real: real balancers need --sockets");
         }
+        if (plan.real > 0 && !EnumSet.of(Condition.QUIET, Condition.LOSS10).containsAll(plan.conditions)) {
+            throw new IOException("--real: only with quiet and loss10");
+        }
         if (plan.real > 0 && plan.balancers.stream().anyMatch(n -> n <= plan.real)) {
             throw new IOException("--real: there must be more balancers than real ones");
         }
--- a/lab/src/main/java/junctionhead/lab/capacity/Trial.java
+++ b/lab/src/main/java/junctionhead/lab/capacity/Trial.java
@@ -1,5 +1,6 @@
 package junctionhead.lab.capacity;
 
+import java.io.IOException;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Map;
@@ -80,8 +81,12 @@
         }
     }
 
-    /** Plays the condition; figures by name, those of a second by simulated or real seconds. */
-    Map<String, Double> measure(Condition condition) {
+    /**
+     * Plays the condition; figures by name, those of a second by simulated or real seconds.
+     *
+     * @throws IOException where a real balancer of the fleet has ended
+     */
+    Map<String, Double> measure(Condition condition) throws IOException {
         drive.clear();
         drive.listTimes().reset();
         measuring = true;
@@ -102,6 +107,7 @@
         }
         times("listInForce", drive.listTimes(), figures);
         sums(ledgers, figures);
+        figures.putAll(drive.others(seconds));
         return figures;
     }
 
--- a/lab/src/test/java/junctionhead/lab/capacity/HollowFleetTest.java
+++ b/lab/src/test/java/junctionhead/lab/capacity/HollowFleetTest.java
@@ -3,6 +3,7 @@
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
+import java.io.IOException;
 import java.util.EnumSet;
 import java.util.Map;
 import java.util.Set;
@@ -14,7 +15,7 @@
     private static final Set<Part> ALL = EnumSet.allOf(Part.class);
 
     @Test
-    void aSeedPlaysTheSameTwice() {
+    void aSeedPlaysTheSameTwice() throws IOException {
         assertEquals(counted(Trials.play(20, 50, 20, ALL, Condition.ZONE, 5, 6)),
             counted(Trials.play(20, 50, 20, ALL, Condition.ZONE, 5, 6)));
     }
@@ -27,7 +28,7 @@
     }
 
     @Test
-    void eachKindOfDatagramIsCounted() {
+    void eachKindOfDatagramIsCounted() throws IOException {
         Map<String, Double> figures = Trials.play(20, 50, 0, ALL, Condition.QUIET, 8, 8);
         for (String kind : new String[] {"word", "membership", "duties"}) {
             double sent = figures.get("sent.bytesPerSecond." + kind);
@@ -36,18 +37,19 @@
             assertEquals(1, figures.get("received.bytesPerSecond." + kind) / sent, 0.02, kind);
         }
         assertEquals(figures.get("sent.bytesPerSecond.mean"), figures.get("sent.bytesPerSecond.word")
-            + figures.get("sent.bytesPerSecond.membership") + figures.get("sent.bytesPerSecond.duties"), 1e-6);
+            + figures.get("sent.bytesPerSecond.membership") + figures.get("sent.bytesPerSecond.duties"),
+            1e-6);
     }
 
     @Test
-    void aTenthOfTheDatagramsIsLost() {
+    void aTenthOfTheDatagramsIsLost() throws IOException {
         Map<String, Double> figures = Trials.play(20, 50, 0, ALL, Condition.LOSS10, 8, 8);
         assertEquals(0.9, figures.get("received.datagramsPerSecond.mean")
             / figures.get("sent.datagramsPerSecond.mean"), 0.02);
     }
 
     @Test
-    void aLostZoneIsKnownToAllAndItsReturnToo() {
+    void aLostZoneIsKnownToAllAndItsReturnToo() throws IOException {
         Map<String, Double> figures = Trials.play(40, 50, 0, ALL, Condition.ZONE, 6, 12);
         // 4 of 40 end; each of the 36 others learns of each, then of its return.
         assertEquals(4 * 36, figures.get("death.knownPairs"));
@@ -60,7 +62,7 @@
     }
 
     @Test
-    void aWaveOfRestartsIsKnownTenthByTenth() {
+    void aWaveOfRestartsIsKnownTenthByTenth() throws IOException {
         Map<String, Double> figures = Trials.play(20, 50, 0, ALL, Condition.RESTARTS, 6, 12);
         // Each of 20 leaves and comes back; the other of its tenth does not see it.
         assertEquals(20 * 18, figures.get("death.knownPairs") + figures.get("death.overtakenPairs"));
@@ -69,7 +71,7 @@
     }
 
     @Test
-    void halvesFindEachOther() {
+    void halvesFindEachOther() throws IOException {
         Map<String, Double> figures = Trials.play(20, 50, 0, ALL, Condition.HALVES, 6, 20);
         assertEquals(2 * 10 * 10, figures.get("death.knownPairs") + figures.get("death.overtakenPairs"));
         assertEquals(figures.get("death.knownPairs"), figures.get("return.knownPairs"));
@@ -77,7 +79,7 @@
     }
 
     @Test
-    void modulesKnowWhatTheOthersGet() {
+    void modulesKnowWhatTheOthersGet() throws IOException {
         Map<String, Double> figures = Trials.play(20, 20, 40, ALL, Condition.QUIET, 8, 8);
         assertEquals(0, figures.get("othersRate.relativeError.bias"), 0.03);
         assertTrue(figures.get("othersRate.relativeError.worst") < 0.25, () -> figures.toString());
--- a/lab/src/test/java/junctionhead/lab/capacity/MembershipWorkTest.java
+++ b/lab/src/test/java/junctionhead/lab/capacity/MembershipWorkTest.java
@@ -2,6 +2,7 @@
 
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
+import java.io.IOException;
 import java.util.Map;
 import java.util.Set;
 import java.util.TreeMap;
@@ -14,7 +15,7 @@
     private static final double BYTES_MOST = 420;           // a second and member; counted: 394
 
     @Test
-    void costsTheSameWhateverTheNumberOfMembers() {
+    void costsTheSameWhateverTheNumberOfMembers() throws IOException {
         for (String figure : new String[] {"sent.datagramsPerSecond", "sent.bytesPerSecond",
             "received.datagramsPerSecond", "received.bytesPerSecond"}) {
             Map<Integer, Double> mean = new TreeMap<>();
@@ -29,7 +30,7 @@
     }
 
     @Test
-    void noMemberBearsMuchMoreThanTheOthers() {
+    void noMemberBearsMuchMoreThanTheOthers() throws IOException {
         for (int n : SIZES) {
             most(n, "sent.bytesPerSecond.mean", BYTES_MOST);
             most(n, "sent.bytesPerSecond.most", 1.1 * BYTES_MOST);
@@ -38,15 +39,17 @@
         }
     }
 
-    private static void most(int members, String figure, double most) {
+    private static void most(int members, String figure, double most) throws IOException {
         double counted = figures(members).get(figure);
         assertTrue(counted <= most, members + " members: " + figure + " " + counted);
     }
 
     private static final Map<Integer, Map<String, Double>> PLAYED = new TreeMap<>();
 
-    private static Map<String, Double> figures(int members) {
-        return PLAYED.computeIfAbsent(members, n -> Trials.play(n, 1, 0, Set.of(Part.MEMBERSHIP),
-            Condition.QUIET, 6, 8));
+    private static Map<String, Double> figures(int members) throws IOException {
+        if (!PLAYED.containsKey(members)) {
+            PLAYED.put(members, Trials.play(members, 1, 0, Set.of(Part.MEMBERSHIP), Condition.QUIET, 6, 8));
+        }
+        return PLAYED.get(members);
     }
 }
