Capacity: a thread for each hollow balancer on request, and late runs count for nothing

Need: on sockets a machine too busy makes membership flap, and figures of that are not the fleet's: at a load of 35 on the cores in use, 57 hollow balancers sent 2,787 bytes a second each for membership, not 394.

--- a/lab/src/main/java/junctionhead/lab/CapacityCommand.java
+++ b/lab/src/main/java/junctionhead/lab/CapacityCommand.java
@@ -14,7 +14,8 @@
 /** Measures what the control of a fleet costs, with hollow balancers. */
 @Command(name = "capacity", mixinStandardHelpOptions = true,
     description = "Fleets of hollow balancers (module, membership and duties without a data path): "
-        + "datagrams, CPU, heap and how soon news are known, by the fleet's size. Exit: 0, 2 wrong use.")
+        + "datagrams, CPU, heap and how soon news are known, by the fleet's size. Exit: 0, 2 wrong use, "
+        + "3 where the machine was too busy for real time.")
 final class CapacityCommand implements Callable<Integer> {
     @Spec
     private CommandSpec spec;
@@ -25,8 +26,7 @@
 
     @Override
     public Integer call() throws IOException {
-        CapacityRun.play(options, spec.commandLine().getParseResult().originalArgs(), out,
-            System.out::println);
-        return Lab.OK;
+        return CapacityRun.play(options, spec.commandLine().getParseResult().originalArgs(), out,
+            System.out::println) ? Lab.OK : Lab.UNTRUSTED;
     }
 }
--- a/lab/src/main/java/junctionhead/lab/capacity/CapacityOptions.java
+++ b/lab/src/main/java/junctionhead/lab/capacity/CapacityOptions.java
@@ -36,6 +36,10 @@
     String parts;
     @Option(names = "--sockets", description = "Over UDP on loopback, in real time.")
     boolean sockets;
+    @Option(names = "--threads", paramLabel = "N", defaultValue = "2",
+        description = "For all hollow balancers, with --sockets; 0: one for each "
+            + "(default: ${DEFAULT-VALUE}).")
+    String threads;
     @Option(names = "--real", paramLabel = "N", defaultValue = "0",
         description = "Real balancers among them, with --sockets (default: ${DEFAULT-VALUE}).")
     String real;
--- a/lab/src/main/java/junctionhead/lab/capacity/CapacityRun.java
+++ b/lab/src/main/java/junctionhead/lab/capacity/CapacityRun.java
@@ -10,6 +10,7 @@
 
 /** One call of the command, from its words to its file. */
 public final class CapacityRun {
+    private static final double LATE_MOST = 0.025;          // s, as for runs of real fleets
     private static final String JAR = "lab/target/junctionhead-lab.jar";
 
     private CapacityRun() { }
@@ -19,17 +20,25 @@
      *
      * @param words of the command line, after the command
      * @param out null: the figures go nowhere
+     * @return false where the machine was too busy for real time: then the figures count for nothing
      * @throws IOException where the words are wrong or the file can't be written, in one line
      */
-    public static void play(CapacityOptions options, List<String> words, Path out, Consumer<String> progress)
-            throws IOException {
+    public static boolean play(CapacityOptions options, List<String> words, Path out,
+            Consumer<String> progress) throws IOException {
         Plan plan = Plan.of(options);
-        Map<String, Double> figures = new Capacity(plan, options.sockets
-            ? (site, seed) -> new SocketDrive(site, seed, plan.real()) : SimulatedDrive::new, progress)
-            .play();
+        Capacity.Drives drives = options.sockets
+            ? (site, seed) -> new SocketDrive(site, seed, plan.threads(), plan.real()) : SimulatedDrive::new;
+        Map<String, Double> figures = new Capacity(plan, drives, progress).play();
         if (out != null) {
             new CapacityReport(command(words), plan.seeds(), figures).write(out);
         }
+        double late = figures.entrySet().stream().filter(f -> f.getKey().endsWith(SocketDrive.LATE))
+            .mapToDouble(Map.Entry::getValue).max().orElse(0);
+        if (late > LATE_MOST) {
+            progress.accept("this run counts for nothing: timers came up to " + Math.round(1e3 * late)
+                + " ms late (99th percentile)");
+        }
+        return late <= LATE_MOST;
     }
 
     // With what changes its figures; folders of the machine are left out.
--- a/lab/src/main/java/junctionhead/lab/capacity/Plan.java
+++ b/lab/src/main/java/junctionhead/lab/capacity/Plan.java
@@ -16,7 +16,8 @@
  * @param warmUp µs before it
  */
 record Plan(List<Integer> balancers, List<Integer> upstreams, List<Condition> conditions, long length,
-        long warmUp, List<Long> seeds, int zones, int classes, double rate, Set<Part> parts, int real) {
+        long warmUp, List<Long> seeds, int zones, int classes, double rate, Set<Part> parts, int threads,
+        int real) {
     private static final int BALANCERS_MOST = 4_000;
     private static final int UPSTREAMS_MOST = 65_536;
 
@@ -30,7 +31,7 @@
             number("--zones", o.zones, 1, 256), number("--classes", o.classes, 1, 256),
             decimal("--rate", o.rate, 0, 100_000),
             EnumSet.copyOf(words("--parts", o.parts, Part.class, p -> p.name().toLowerCase(Locale.ROOT))),
-            number("--real", o.real, 0, 10));
+            number("--threads", o.threads, 0, 64), number("--real", o.real, 0, 10));
         if (plan.parts.contains(Part.DUTIES) && !plan.parts.contains(Part.MEMBERSHIP)) {
             throw new IOException("--parts: duties go by membership");
         }
--- a/lab/src/main/java/junctionhead/lab/capacity/SocketDrive.java
+++ b/lab/src/main/java/junctionhead/lab/capacity/SocketDrive.java
@@ -18,6 +18,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.SplittableRandom;
+import java.util.TreeMap;
 import java.util.concurrent.TimeUnit;
 import java.util.function.IntPredicate;
 import java.util.function.Supplier;
@@ -28,18 +29,21 @@
 import org.HdrHistogram.SynchronizedHistogram;
 
 /**
- * Real time over loopback: a socket a hollow balancer, two threads for all of them and one for what lies
+ * Real time over loopback: a socket a hollow balancer, some threads for all of them and one for what lies
  * between. The last balancers of the site may be real processes.
  */
 final class SocketDrive implements Drive {
-    private static final int THREADS = 2;
     private static final long NEWS_LEAST = 200_000;         // µs until discovery's news come
     private static final long NEWS_MOST = 1_500_000;
     private static final int DESCRIPTORS_SPARE = 200;
 
+    /** How late timers came, s, of 99 in 100: what a machine too busy makes of a fleet is not the fleet's. */
+    static final String LATE = "timersLate.seconds.p99";
+
     private final Site site;
     private final long seed;
-    private final NioEventLoopGroup group = new NioEventLoopGroup(THREADS);
+    private final NioEventLoopGroup group;
+    private final Histogram lateness = new SynchronizedHistogram(3);
     private final FanOut paths;
     private final List<Seat> seats = new ArrayList<>();
     private final Map<InetSocketAddress, Integer> faces = new HashMap<>(); // filled before any is started
@@ -86,7 +90,11 @@
 
         @Override
         public void after(long delay, Runnable what) {
-            loop.schedule(what, delay, TimeUnit.MICROSECONDS);
+            long wanted = now() + delay;
+            loop.schedule(() -> {
+                lateness.recordValue(Math.max(0, now() - wanted));
+                what.run();
+            }, delay, TimeUnit.MICROSECONDS);
         }
 
         @Override
@@ -136,9 +144,10 @@
     /**
      * Opens all sockets and starts the real balancers.
      *
+     * @param threadCount for all hollow balancers; 0: one for each, as real ones have
      * @throws IOException where the system allows too few descriptors, or a process can't be started
      */
-    SocketDrive(Site site, long seed, int realOnes) throws IOException {
+    SocketDrive(Site site, long seed, int threadCount, int realOnes) throws IOException {
         this.site = site;
         this.seed = seed;
         int wanted = 2 * site.balancers() + DESCRIPTORS_SPARE;
@@ -147,6 +156,7 @@
             throw new IOException(site.balancers() + " balancers want " + wanted + " descriptors, allowed "
                 + "are " + system.getMaxFileDescriptorCount());
         }
+        group = new NioEventLoopGroup(threadCount > 0 ? threadCount : site.balancers() - realOnes);
         random = new SplittableRandom(seed);
         running = new boolean[site.balancers()];
         notices = new Notices(site.balancers());
@@ -246,6 +256,7 @@
         if (real != null) {
             real.clear();
         }
+        lateness.reset();
         cpuFrom = cpu();
     }
 
@@ -287,7 +298,9 @@
 
     @Override
     public Map<String, Double> others(double seconds) throws IOException {
-        return real == null ? Map.of() : real.figures(seconds);
+        Map<String, Double> figures = new TreeMap<>(real == null ? Map.of() : real.figures(seconds));
+        figures.put(LATE, lateness.getValueAtPercentile(99) / 1e6);
+        return figures;
     }
 
     @Override
--- a/lab/src/test/java/junctionhead/lab/capacity/SocketDriveTest.java
+++ b/lab/src/test/java/junctionhead/lab/capacity/SocketDriveTest.java
@@ -16,7 +16,7 @@
     @Test
     void theyHearOneAnotherAndNoticeAnEnd() throws IOException {
         Site site = new Site(BALANCERS, 10, 2, 1, 0, EnumSet.allOf(Part.class));
-        try (SocketDrive drive = new SocketDrive(site, 1, 0)) {
+        try (SocketDrive drive = new SocketDrive(site, 1, 1, 0)) {
             for (int b = 0; b < BALANCERS; b++) {
                 drive.start(b);
             }
