--- a/lab/src/main/java/junctionhead/lab/capacity/CapacityReport.java
+++ b/lab/src/main/java/junctionhead/lab/capacity/CapacityReport.java
@@ -26,6 +26,20 @@
         figures = java.util.Collections.unmodifiableMap(new TreeMap<>(figures));
     }
 
+    /**
+     * Makes the folder of a file.
+     *
+     * @throws IOException where it can't be made
+     */
+    static void prepare(Path file) throws IOException {
+        Path folder = file.toAbsolutePath().getParent();
+        try {
+            Files.createDirectories(folder);
+        } catch (IOException e) {
+            throw new IOException("can't make the folder " + folder + " for " + file.getFileName(), e);
+        }
+    }
+
     /**
      * Writes it, five digits a figure.
      *
@@ -39,9 +53,7 @@
         all.put("command", command);
         all.put("seeds", seeds);
         all.put("figures", rounded);
-        if (file.toAbsolutePath().getParent() != null) {
-            Files.createDirectories(file.toAbsolutePath().getParent());
-        }
+        prepare(file);
         Files.writeString(file, new ObjectMapper().enable(SerializationFeature.INDENT_OUTPUT)
             .writeValueAsString(all) + "\n");
     }
--- a/lab/src/main/java/junctionhead/lab/capacity/CapacityRun.java
+++ b/lab/src/main/java/junctionhead/lab/capacity/CapacityRun.java
@@ -26,6 +26,9 @@
     public static boolean play(CapacityOptions options, List<String> words, Path out,
             Consumer<String> progress) throws IOException {
         Plan plan = Plan.of(options);
+        if (out != null) {
+            CapacityReport.prepare(out);                    // before it takes its time
+        }
         Capacity.Drives drives = options.sockets
             ? (site, seed) -> new SocketDrive(site, seed, plan.threads(), plan.real()) : SimulatedDrive::new;
         Map<String, Double> figures = new Capacity(plan, drives, progress).play();
