--- a/lab/src/main/java/junctionhead/lab/plan/Plan.java
+++ b/lab/src/main/java/junctionhead/lab/plan/Plan.java
@@ -4,8 +4,10 @@
 import java.security.MessageDigest;
 import java.security.NoSuchAlgorithmException;
 import java.util.ArrayList;
+import java.util.HashSet;
 import java.util.HexFormat;
 import java.util.List;
+import java.util.Set;
 import java.util.SortedSet;
 import java.util.TreeSet;
 import junctionhead.lab.scenario.FaultKind;
@@ -27,6 +29,7 @@
     private final List<Arrival> arrivals = new ArrayList<>();
     private final List<Server> servers = new ArrayList<>();
     private final List<Fault> faults = new ArrayList<>();
+    private final Set<String> uids = new HashSet<>();
 
     /** A first try: {@code work} in µs at speed 1; a hasty client gives up at half of its time. */
     public record Arrival(long at, int zone, int requestClass, int tenant, long work, boolean hasty) { }
@@ -93,8 +96,13 @@
         }
     }
 
-    private static String uid(UniformRandomProvider random) {
-        return "s-" + HexFormat.of().toHexDigits(random.nextInt());
+    // Drawn again where another has it, as one of forty plans of 14,000 servers would have two alike.
+    private String uid(UniformRandomProvider random) {
+        String uid;
+        do {
+            uid = "s-" + HexFormat.of().toHexDigits(random.nextInt());
+        } while (!uids.add(uid));
+        return uid;
     }
 
     private void drawFaults() {
--- a/lab/src/test/java/junctionhead/lab/plan/PlanTest.java
+++ b/lab/src/test/java/junctionhead/lab/plan/PlanTest.java
@@ -60,4 +60,19 @@
         assertEquals(1, plan.successor(3).zone());
         assertEquals(plan.servers().get(3).speed(), plan.successor(3).speed());
     }
+
+    @Test
+    void noTwoServersOfALargeFleetHaveOneName() {
+        Scenario large = ScenarioReader.parse("s.toml", """
+            length_s = 1
+            [upstreams]
+            count = 14000
+            [load]
+            rate = 0.1
+            [[class]]
+            name = "x"
+            """, true);
+        // Seed 9 draws one name twice.
+        assertEquals(14_000, Plan.of(large, 9).servers().stream().map(Plan.Server::uid).distinct().count());
+    }
 }
