lab sim: up to 1,600 balancers and 14,000 upstreams, and what a run cost

The bounds for simulated time were 1,000 and 2,000; those for real processes stay. Past them one line names the limit.

--- a/lab/src/main/java/junctionhead/lab/SimCommand.java
+++ b/lab/src/main/java/junctionhead/lab/SimCommand.java
@@ -11,6 +11,7 @@
 import junctionhead.lab.scenario.Scenario;
 import junctionhead.lab.scenario.ScenarioReader;
 import junctionhead.lab.sim.Baseline;
+import junctionhead.lab.sim.Cost;
 import junctionhead.lab.sim.SimFleet;
 import picocli.CommandLine.Command;
 import picocli.CommandLine.Option;
@@ -43,16 +44,19 @@
 
     @Override
     public Integer call() throws IOException {
+        Cost cost = new Cost();
         Scenario scenario = ScenarioReader.read(file, true);
         Plan plan = Plan.of(scenario, seed);
         boolean whole = zones || "on".equals(scenario.fleet().environment().get("TANSYFERRY_ZONES"));
         long began = System.nanoTime();
-        Result result = new SimFleet(plan, (settings, s) -> new Balance(settings, s, whole),
-            remarks ? System.out::println : line -> { }).play();
+        SimFleet fleet = new SimFleet(plan, (settings, s) -> new Balance(settings, s, whole),
+            remarks ? System.out::println : line -> { });
+        Result result = fleet.play();
         System.out.printf(Locale.ROOT, "%s: seed %d, %d requests, simulated in %.1f s%n", scenario.name(),
             seed,
             plan.arrivals().size(), (System.nanoTime() - began) / 1e9);
         Lab.print(result);
+        System.out.println(cost.of(fleet.simulated(), fleet.played()));
         if (baselines) {
             row("module", result);
             List.of(Baseline.Rule.values()).forEach(rule -> row(rule.name().toLowerCase(Locale.ROOT),
--- a/lab/src/main/java/junctionhead/lab/scenario/ScenarioReader.java
+++ b/lab/src/main/java/junctionhead/lab/scenario/ScenarioReader.java
@@ -20,8 +20,8 @@
 public final class ScenarioReader {
     private static final int BALANCERS_MOST = 40;           // real processes
     private static final int UPSTREAMS_MOST = 200;
-    private static final int SIMULATED_BALANCERS_MOST = 1_000;
-    private static final int SIMULATED_UPSTREAMS_MOST = 2_000;
+    private static final int SIMULATED_BALANCERS_MOST = 1_600;
+    private static final int SIMULATED_UPSTREAMS_MOST = 14_000;
 
     private final ObjectMapper mapper =
         new TomlMapper().setPropertyNamingStrategy(PropertyNamingStrategies.SNAKE_CASE);
--- a/lab/src/test/java/junctionhead/lab/scenario/ScenarioReaderTest.java
+++ b/lab/src/test/java/junctionhead/lab/scenario/ScenarioReaderTest.java
@@ -67,6 +67,20 @@
         assertEquals("s.toml: fault[0]." + complaint, bad.getMessage());
     }
 
+    @ParameterizedTest
+    @CsvSource(delimiter = '|', quoteCharacter = '`', value = {
+        "[fleet]; balancers = 1601 | s.toml: fleet.balancers: 1601 is not between 1 and 1600",
+        "[upstreams]; count = 14001 | s.toml: upstreams.count: 14001 is not between 1 and 14000",
+    })
+    void simulatedTimeHasItsOwnBounds(String text, String complaint) {
+        String lines = text.replace("; ", "\n");
+        BadScenario bad = assertThrows(BadScenario.class, () -> ScenarioReader.parse("s.toml", lines, true));
+        assertEquals(complaint, bad.getMessage());
+        String most = lines.replace("1601", "1600").replace("14001", "14000") + "\n[[class]]\n";
+        assertEquals(1, ScenarioReader.parse("s.toml", most, true).classes().size());
+        assertThrows(BadScenario.class, () -> ScenarioReader.parse("s.toml", most, false));
+    }
+
     @Test
     void aZoneThatIsToBeLeftMustBeLost() {
         BadScenario bad = assertThrows(BadScenario.class, () -> ScenarioReader.parse("s.toml",
