lab cold: counts what cold servers get from all balancers together

A cold server falls by the sum of what all processes send; each balancer keeps its own budget, and nothing showed what many of them add up to. The new command plays, in simulated time, six servers of which two start anew under 20 to 1,000 balancers: steady traffic, and a burst at all of them after a quiet time, also while a quarter of them starts. For each it prints the fullest window of the worst cold server, its budget N of that moment (what the settings allow: factor x capacity x window), N + 2 root(N) + 2, and how much of the budget steady traffic used. Nobody falls in it, so that all is counted.

--- a/lab/src/main/java/junctionhead/lab/Lab.java
+++ b/lab/src/main/java/junctionhead/lab/Lab.java
@@ -17,7 +17,8 @@
     description = "Plays fleets of real balancers against stand-ins, with faults between them.",
     synopsisSubcommandLabel = "COMMAND",
     subcommands = {RunCommand.class, SimCommand.class, CompareCommand.class, SweepCommand.class,
-        ReportCommand.class, PaperCommand.class, MembersCommand.class, DutiesCommand.class})
+        ReportCommand.class, PaperCommand.class, MembersCommand.class, DutiesCommand.class,
+        ColdCommand.class})
 public final class Lab {
     /** What a command ends with: all was kept. */
     static final int OK = 0;
--- a/lab/src/main/java/junctionhead/lab/plan/Plan.java
+++ b/lab/src/main/java/junctionhead/lab/plan/Plan.java
@@ -85,6 +85,15 @@
         return plan;
     }
 
+    /** The same servers and faults with other first tries, in order of time. */
+    public Plan with(List<Arrival> others) {
+        Plan plan = new Plan(scenario, seed);
+        plan.servers.addAll(servers);
+        plan.faults.addAll(faults);
+        plan.arrivals.addAll(others);
+        return plan;
+    }
+
     private void drawServers() {
         UniformRandomProvider random = Seeds.stream(seed, "servers");
         List<Scenario.Kind> kinds = scenario.upstreams().kinds();
--- a/lab/src/main/java/junctionhead/lab/sim/SimBalancer.java
+++ b/lab/src/main/java/junctionhead/lab/sim/SimBalancer.java
@@ -284,9 +284,7 @@
             time.now());
         int requestClass = call.order().arrival().requestClass();
         long work = call.order().arrival().work() + (fresh ? fleet.handshake() : 0);
-        if (s.heats(work, fleet.rules().knowsStart(number, s.server().number(), s.bootAt()))) {
-            fleet.pushedOver(s);
-        }
+        fleet.heats(number, s, work);
         int incarnation = s.incarnation();
         a.job = s.alive() ? s.arrive(requestClass, work, () -> answer(a, s.failsNow(requestClass)
             ? Policy.Outcome.ERROR : Policy.Outcome.OK)) : null;
--- a/lab/src/main/java/junctionhead/lab/sim/SimFleet.java
+++ b/lab/src/main/java/junctionhead/lab/sim/SimFleet.java
@@ -46,6 +46,7 @@
     private final Map<SimServer, List<OnCrash>> crashes = new HashMap<>();
     private final int[] starts;
     private final Consumer<String> remarks;
+    private ColdWatch watch;                                // null: cold servers fall
 
     private record OnCrash(Runnable what, BooleanSupplier over) { }
 
@@ -55,6 +56,12 @@
         Policy make(Policy.Settings settings, long seed);
     }
 
+    /** Hears of each attempt at a cold server. */
+    public interface ColdWatch {
+        /** {@code capacity}: seconds of work a second that the server can do at that time. */
+        void sent(int server, long now, double capacity);
+    }
+
     /** {@code remarks} hears the modules' lines. */
     public SimFleet(Plan plan, Modules modules, Consumer<String> remarks) {
         this.plan = plan;
@@ -84,6 +91,11 @@
         clients = new SimClients(time, plan, rules, windows, balancers);
     }
 
+    /** From here on all that cold servers get is told, and none of them falls. */
+    public void watchCold(ColdWatch by) {
+        watch = by;
+    }
+
     // ------------------------------------------------------------ what balancers see
 
     Timeline time() {
@@ -170,7 +182,18 @@
         }
     }
 
-    void pushedOver(SimServer s) {
+    /** Work comes to a server: where it is cold, and that is too much, it falls. */
+    void heats(int balancer, SimServer s, long work) {
+        if (watch != null) {
+            if (s.cold()) {
+                watch.sent(s.server().number(), time.now(), s.capacity());
+            }
+        } else if (s.heats(work, rules.knowsStart(balancer, s.server().number(), s.bootAt()))) {
+            pushedOver(s);
+        }
+    }
+
+    private void pushedOver(SimServer s) {
         rules.breach("cold budget", time.now(), null, "s" + s.server().number() + " was pushed over "
             + (time.now() - s.bootAt()) / 1000 + " ms after its start");
         crash(s);
--- a/lab/src/main/java/junctionhead/lab/sim/SimServer.java
+++ b/lab/src/main/java/junctionhead/lab/sim/SimServer.java
@@ -74,6 +74,15 @@
         return job;
     }
 
+    /** Seconds of work a second that it can do now. */
+    double capacity() {
+        return model.capacity(time.now());
+    }
+
+    boolean cold() {
+        return cold != null && model.warmth(time.now()) < 1;
+    }
+
     /** Work comes to it while it may be cold; true where that pushes it over. */
     boolean heats(long work, boolean told) {
         long now = time.now();
