Lab: a page's figures are held to the files of the runs that gave them

A page of capacity is only worth something while its figures are those of the runs. A figure is a link, `[394 m][quiet]`, whose label names a file and a key, or arithmetic over keys; `lab figures PAGE` says which differ by more than the rounding shown, name a file or key that is not there, show no number, or claim to be measured and refer to nothing.

--- a/lab/src/main/java/junctionhead/lab/Lab.java
+++ b/lab/src/main/java/junctionhead/lab/Lab.java
@@ -17,7 +17,8 @@
     description = "Plays fleets of real balancers against stand-ins, with faults between them.",
     synopsisSubcommandLabel = "COMMAND",
     subcommands = {RunCommand.class, SimCommand.class, CompareCommand.class, SweepCommand.class,
-        ReportCommand.class, PaperCommand.class, MembersCommand.class, DutiesCommand.class})
+        ReportCommand.class, PaperCommand.class, MembersCommand.class, DutiesCommand.class,
+        FiguresCommand.class})
 public final class Lab {
     /** What a command ends with: all was kept. */
     static final int OK = 0;
@@ -44,6 +45,11 @@
         }).execute(arguments);
     }
 
+    /** The command as it was called, for whoever wants to call it again. */
+    static String line(CommandLine.Model.CommandSpec of) {
+        return "lab " + String.join(" ", of.root().commandLine().getParseResult().originalArgs());
+    }
+
     /** How the balancers of that jar are started; null: the jar that the build leaves. */
     static Launch launch(Path jar) throws IOException {
         Path deploy = Launch.deployFile();
--- /dev/null
+++ b/lab/src/main/java/junctionhead/lab/figures/Measured.java
@@ -0,0 +1,59 @@
+package junctionhead.lab.figures;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.ObjectMapper;
+import com.fasterxml.jackson.databind.SerializationFeature;
+import java.io.IOException;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.Collections;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.SortedMap;
+import java.util.TreeMap;
+
+/**
+ * What a run measured, as it lies in a file that pages refer to: the command line, the seeds it was played
+ * with, and figures by dotted keys, each in the unit that its key or the page names.
+ */
+public record Measured(String command, List<Long> seeds, SortedMap<String, Double> figures) {
+    private static final ObjectMapper MAPPER = new ObjectMapper().enable(SerializationFeature.INDENT_OUTPUT);
+
+    public Measured {
+        seeds = List.copyOf(seeds);
+        figures = Collections.unmodifiableSortedMap(new TreeMap<>(figures));
+    }
+
+    /**
+     * Reads what {@link #write} wrote.
+     *
+     * @throws IOException where the file can't be read or has no figures, with a message that names it
+     */
+    public static Measured read(Path file) throws IOException {
+        JsonNode json = MAPPER.readTree(Files.readString(file));
+        if (json == null || !json.path("figures").isObject()) {
+            throw new IOException(file + " holds no figures");
+        }
+        List<Long> seeds = new ArrayList<>();
+        json.path("seeds").forEach(seed -> seeds.add(seed.asLong()));
+        SortedMap<String, Double> figures = new TreeMap<>();
+        json.get("figures").properties().forEach(f -> {
+            if (f.getValue().isNumber()) {
+                figures.put(f.getKey(), f.getValue().asDouble());
+            }
+        });
+        return new Measured(json.path("command").asText(), seeds, figures);
+    }
+
+    /** Writes it to a file, whose folder is made where there is none. */
+    public void write(Path file) throws IOException {
+        Files.createDirectories(file.toAbsolutePath().getParent());
+        Map<String, Object> all = new LinkedHashMap<>();
+        all.put("command", command);
+        all.put("seeds", seeds);
+        all.put("figures", figures);
+        Files.writeString(file, MAPPER.writeValueAsString(all) + "\n");
+    }
+}
