--- a/lab/src/main/java/junctionhead/lab/Lab.java
+++ b/lab/src/main/java/junctionhead/lab/Lab.java
@@ -18,7 +18,7 @@
     synopsisSubcommandLabel = "COMMAND",
     subcommands = {RunCommand.class, SimCommand.class, CompareCommand.class, SweepCommand.class,
         ReportCommand.class, PaperCommand.class, MembersCommand.class, DutiesCommand.class,
-        FiguresCommand.class})
+        CostCommand.class, FiguresCommand.class})
 public final class Lab {
     /** What a command ends with: all was kept. */
     static final int OK = 0;
--- a/lab/src/main/java/junctionhead/lab/fleet/ProcFigures.java
+++ b/lab/src/main/java/junctionhead/lab/fleet/ProcFigures.java
@@ -6,12 +6,13 @@
 import java.nio.file.Path;
 
 /** What the system tells of a process; -1 where it has ended. */
-record ProcFigures(long cpuMs, long residentKb, int descriptors) {
+public record ProcFigures(long cpuMs, long residentKb, int descriptors) {
     private static final long TICK_MS = 10;                 // Linux counts in hundredths of a second
     private static final int USER = 11;                     // fields of stat behind the command's name
     private static final int SYSTEM = 12;
 
-    static ProcFigures of(long pid) {
+    /** As it is now. */
+    public static ProcFigures of(long pid) {
         Path proc = Path.of("/proc", Long.toString(pid));
         try {
             String stat = Files.readString(proc.resolve("stat"));
--- a/lab/src/main/java/junctionhead/lab/fleet/Spawner.java
+++ b/lab/src/main/java/junctionhead/lab/fleet/Spawner.java
@@ -17,7 +17,7 @@
  * Starts processes and signals them. All are started by one thread that lives as long as the lab: the system
  * ends a process with the thread that started it, so that none outlives a lab that was itself killed.
  */
-final class Spawner implements AutoCloseable {
+public final class Spawner implements AutoCloseable {
     private static final Path SETPRIV = Path.of("/usr/bin/setpriv");
 
     private final ExecutorService thread = Executors.newSingleThreadExecutor(work -> {
@@ -29,12 +29,17 @@
     private final Thread atEnd = new Thread(() -> alive.forEach(Process::destroyForcibly),
             "end of processes");
 
-    Spawner() {
+    /** Processes that it starts end with this one, however this one ends. */
+    public Spawner() {
         Runtime.getRuntime().addShutdownHook(atEnd);
     }
 
-    /** Starts a command with a limit on descriptors. */
-    Process start(List<String> command, int descriptors, ProcessBuilder into) throws IOException {
+    /**
+     * Starts a command with a limit on descriptors.
+     *
+     * @throws IOException where it can't be started
+     */
+    public Process start(List<String> command, int descriptors, ProcessBuilder into) throws IOException {
         List<String> all = new ArrayList<>(List.of("/bin/sh", "-c", "ulimit -n " + descriptors
             + "; exec \"$@\"", "sh"));
         if (Files.isExecutable(SETPRIV)) {
--- a/lab/src/test/java/junctionhead/lab/FiguresCommandTest.java
+++ b/lab/src/test/java/junctionhead/lab/FiguresCommandTest.java
@@ -53,5 +53,6 @@
         Files.writeString(page, "[391 m][b]\n\n[b]: m.json \"bytes\"\n");
         assertEquals(Lab.BROKEN, Lab.run("figures", page.toString()));
         assertEquals(Lab.WRONG_USE, Lab.run("figures", folder.resolve("nowhere.md").toString()));
+        assertEquals(Lab.WRONG_USE, Lab.run("cost", "servers=many"));
     }
 }
