--- a/lab/src/main/java/junctionhead/lab/DutiesCommand.java
+++ b/lab/src/main/java/junctionhead/lab/DutiesCommand.java
@@ -47,12 +47,17 @@
         for (int count : counts) {
             for (long seed : seeds) {
                 twice += play(count, seed);
+                keep();
             }
         }
+        return twice == 0 ? Lab.OK : Lab.BROKEN;
+    }
+
+    // After each: a long call that is ended early leaves what it has.
+    private void keep() throws IOException {
         if (json != null) {
             new Measured(Lab.line(spec), seeds, repeats.figures()).write(json);
         }
-        return twice == 0 ? Lab.OK : Lab.BROKEN;
     }
 
     private int play(int count, long seed) {
--- a/lab/src/main/java/junctionhead/lab/MembersCommand.java
+++ b/lab/src/main/java/junctionhead/lab/MembersCommand.java
@@ -49,13 +49,18 @@
             for (double loss : losses) {
                 for (long seed : seeds) {
                     wronged += play(count, loss, seed);
+                    keep();
                 }
             }
         }
+        return wronged == 0 ? Lab.OK : Lab.BROKEN;
+    }
+
+    // After each: a long call that is ended early leaves what it has.
+    private void keep() throws IOException {
         if (json != null) {
             new Measured(Lab.line(spec), seeds, repeats.figures()).write(json);
         }
-        return wronged == 0 ? Lab.OK : Lab.BROKEN;
     }
 
     private int play(int count, double loss, long seed) {
