--- a/lab/src/main/java/junctionhead/lab/cost/Cost.java
+++ b/lab/src/main/java/junctionhead/lab/cost/Cost.java
@@ -7,12 +7,14 @@
 import java.util.Collections;
 import java.util.List;
 import java.util.Locale;
+import java.util.Map;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
 import junctionhead.lab.figures.Repeats;
 import junctionhead.lab.fleet.Launch;
 import junctionhead.lab.fleet.Spawner;
 import junctionhead.lab.stand.Addresses;
+import junctionhead.lab.stand.Json;
 import org.HdrHistogram.Histogram;
 
 /**
@@ -20,9 +22,9 @@
  * changes in one line, the whole list again, and what it holds. Figures: {@code ready_s}, {@code
  * start_cpu_s}, {@code rest_cpu} (part of a core), {@code change_cpu_ms} (an entry), {@code zone_cpu_ms} and
  * {@code whole_cpu_ms} (a line), {@code resident_mb}, {@code live_mb} (of the heap), {@code collections.*}
- * (ms), {@code told.*} (a second); with requests {@code direct_ms.*}, {@code rest_ms.*}, {@code change_ms.*},
- * {@code zone_ms.*}, {@code whole_ms.*}, from when a request was due until its answer; {@code ended} where
- * the process did not last.
+ * (ms), {@code told.*} (a second), {@code list_bytes}, {@code kept_bytes} (of the newest snapshot); with
+ * requests {@code direct_ms.*}, {@code rest_ms.*}, {@code change_ms.*}, {@code zone_ms.*}, {@code
+ * whole_ms.*}, from when a request was due until its answer; {@code ended} where the process did not last.
  */
 public final class Cost {
     private static final int SETTLE_MS = 5_000;
@@ -36,14 +38,17 @@
     private final Launch launch;
     private final Path out;
     private final int restMs;
+    private final Map<String, String> own;
     private final Repeats figures;
     private final Consumer<String> say;
 
     /**
-     * {@code out}: a folder for logs; {@code restMs}: how long its rest is watched; {@code figures} takes
-     * all that is measured.
+     * {@code out}: a folder for logs; {@code restMs}: how long its rest is watched; {@code own}: variables of
+     * the process, of which a state's folder is made here; {@code figures} takes all that is measured.
      */
-    public Cost(Launch launch, Path out, int restMs, Repeats figures, Consumer<String> say) {
+    public Cost(Launch launch, Path out, int restMs, Map<String, String> own, Repeats figures,
+            Consumer<String> say) {
+        this.own = Map.copyOf(own);
         this.launch = launch;
         this.out = out;
         this.restMs = restMs;
@@ -60,7 +65,8 @@
                 CostPeers peers = size.balancers() == 1 ? null
                     : new CostPeers(size.balancers() - 1, peerListen);
                 CostProcess process = new CostProcess(spawner, launch, folder, size, stand, addresses,
-                        peerListen, peers == null ? null : peers.addresses())) {
+                        peerListen, peers == null ? null : peers.addresses(), own)) {
+            figures.add(size.key() + "list_bytes", Json.text(stand.known()).length());
             boolean lasted = false;
             try {
                 lasted = watch(size, stand, peers, process);
@@ -134,6 +140,9 @@
         collections(key, process);
         figures.add(key + "resident_mb", process.resident());
         figures.add(key + "live_mb", process.live());
+        if (process.kept() >= 0) {
+            figures.add(key + "kept_bytes", process.kept());
+        }
         say.accept(String.format(Locale.ROOT, "%s ready after %.2f s, %s", key, ready, "resident "
             + Math.round(process.resident()) + " MB"));
         return true;
--- a/lab/src/main/java/junctionhead/lab/cost/CostProcess.java
+++ b/lab/src/main/java/junctionhead/lab/cost/CostProcess.java
@@ -30,17 +30,23 @@
     private static final Pattern USED =
         Pattern.compile("(?:new|tenured) generation\\s+total \\d+K, used (\\d+)K");
 
+    private static final String STATE = "TANSYFERRY_STATE_DIR";
+
     private final Process process;
     private final long startedAt = System.nanoTime();
     private final InetSocketAddress listen;
     private final InetSocketAddress door;
     private final Path log;
     private final Path collections;
+    private final Path state;
 
-    /** Starts it in a folder of its own; {@code peers} is null where it has none. */
+    /**
+     * Starts it in a folder of its own; {@code peers} is null where it has none; {@code own}: variables that
+     * switch on parts of the program.
+     */
     CostProcess(Spawner spawner, Launch launch, Path folder, CostCase size, CostStand stand,
-            Addresses addresses, InetSocketAddress peerListen, List<InetSocketAddress> peers)
-            throws IOException {
+            Addresses addresses, InetSocketAddress peerListen, List<InetSocketAddress> peers,
+            Map<String, String> own) throws IOException {
         listen = addresses.free(addresses.own(0));
         door = addresses.free(addresses.own(0));
         log = folder.resolve("log");
@@ -68,6 +74,11 @@
         environment.put("ROUTER_NAME", "n0");
         environment.put("ROUTER_CONFIG", config.toString());
         environment.put("TMPDIR", Files.createDirectories(folder.resolve("tmp")).toString());
+        environment.putAll(own);
+        state = folder.resolve("state");
+        if (own.containsKey(STATE)) {
+            environment.put(STATE, Files.createDirectories(state).toString());
+        }
         List<String> command = new ArrayList<>(launch.command());
         int jar = command.indexOf("-jar");
         command.add(jar < 0 ? command.size() : jar, "-Xlog:gc:file=" + collections + ":uptime");
@@ -148,6 +159,17 @@
             .map(m -> Double.valueOf(m.group(1))).toList();
     }
 
+    /** Bytes of the newest snapshot of its state; 0 where none is kept, -1 where none is asked for. */
+    long kept() throws IOException {
+        if (!Files.exists(state)) {
+            return -1;
+        }
+        try (var files = Files.list(state)) {
+            return files.filter(f -> f.getFileName().toString().startsWith("snapshot-"))
+                .mapToLong(f -> f.toFile().length()).max().orElse(0);
+        }
+    }
+
     /** The last line of its log. */
     String lastWords() throws IOException {
         List<String> lines = Files.readAllLines(log);
