--- a/lab/src/main/java/junctionhead/lab/DutiesCommand.java
+++ b/lab/src/main/java/junctionhead/lab/DutiesCommand.java
@@ -4,6 +4,8 @@
 import java.nio.file.Path;
 import java.util.List;
 import java.util.Locale;
+import java.util.Set;
+import java.util.TreeSet;
 import java.util.concurrent.Callable;
 import junctionhead.duties.Terms;
 import junctionhead.lab.figures.Measured;
@@ -40,6 +42,7 @@
     private Path json;
 
     private final Repeats repeats = new Repeats();
+    private final Set<Long> played = new TreeSet<>();
 
     @Override
     public Integer call() throws IOException {
@@ -47,16 +50,17 @@
         for (int count : counts) {
             for (long seed : seeds) {
                 twice += play(count, seed);
-                keep();
+                keep(seed);
             }
         }
         return twice == 0 ? Lab.OK : Lab.BROKEN;
     }
 
     // After each: a long call that is ended early leaves what it has.
-    private void keep() throws IOException {
+    private void keep(long seed) throws IOException {
+        played.add(seed);
         if (json != null) {
-            new Measured(Lab.line(spec), seeds, repeats.figures()).write(json);
+            new Measured(Lab.line(spec), List.copyOf(played), repeats.figures()).write(json);
         }
     }
 
--- a/lab/src/main/java/junctionhead/lab/MembersCommand.java
+++ b/lab/src/main/java/junctionhead/lab/MembersCommand.java
@@ -5,6 +5,8 @@
 import java.nio.file.Path;
 import java.util.List;
 import java.util.Locale;
+import java.util.Set;
+import java.util.TreeSet;
 import java.util.concurrent.Callable;
 import junctionhead.lab.figures.Measured;
 import junctionhead.lab.figures.Repeats;
@@ -34,6 +36,9 @@
     @Option(names = "--kills", paramLabel = "N", defaultValue = "20", description =
         "Default: ${DEFAULT-VALUE}.")
     private int kills;
+    @Option(names = "--uncut",
+        description = "Ends before the cut into halves, which costs most at a large size.")
+    private boolean uncut;
     @Option(names = "--seed", paramLabel = "N", defaultValue = "1", split = ",", description =
         "The same (default: ${DEFAULT-VALUE}).")
     private List<Long> seeds;
@@ -41,6 +46,7 @@
     private Path json;
 
     private final Repeats repeats = new Repeats();
+    private final Set<Long> played = new TreeSet<>();
 
     @Override
     public Integer call() throws IOException {
@@ -49,7 +55,7 @@
             for (double loss : losses) {
                 for (long seed : seeds) {
                     wronged += play(count, loss, seed);
-                    keep();
+                    keep(seed);
                 }
             }
         }
@@ -57,9 +63,10 @@
     }
 
     // After each: a long call that is ended early leaves what it has.
-    private void keep() throws IOException {
+    private void keep(long seed) throws IOException {
+        played.add(seed);
         if (json != null) {
-            new Measured(Lab.line(spec), seeds, repeats.figures()).write(json);
+            new Measured(Lab.line(spec), List.copyOf(played), repeats.figures()).write(json);
         }
     }
 
@@ -88,6 +95,7 @@
         }
         if (kills > 0) {
             repeats.add(key + "kill_bytes", (fleet.meanBytes() - before) / kills - 7 * quiet);
+            repeats.add(key + "known_part", fleet.known().getTotalCount() / (double) kills / (count - 1));
             repeats.add(key + "known_s.p50", fleet.known().getValueAtPercentile(50) / 1e6);
             repeats.add(key + "known_s.p99", fleet.known().getValueAtPercentile(99) / 1e6);
             repeats.add(key + "known_s.max", fleet.known().getMaxValue() / 1e6);
@@ -100,17 +108,23 @@
         System.out.printf(Locale.ROOT, "live members held dead: %d%s%n", fleet.wronged().size(),
             fleet.wronged().isEmpty() ? "" : ", first " + fleet.wronged().get(0));
         int wronged = fleet.wronged().size();
+        repeats.add(key + "wronged", wronged);
+        if (!uncut) {
+            halves(fleet, count, key);
+        }
+        return wronged;
+    }
+
+    private void halves(SimMembers fleet, int count, String key) {
         fleet.cut(m -> m < count / 2);
         fleet.play(8_000_000);
-        before = fleet.meanBytes();
+        double before = fleet.meanBytes();
         fleet.heal();
         long agreed = fleet.untilAgreed(30_000_000);
         System.out.printf(Locale.ROOT, "views agree %.2f s after halves were joined again%n", agreed / 1e6);
-        repeats.add(key + "wronged", wronged);
         repeats.add(key + "healed_s", agreed < 0 ? -1 : agreed / 1e6);
         repeats.add(key + "heal_bytes_a_second",
             agreed <= 0 ? 0 : (fleet.meanBytes() - before) / (agreed / 1e6));
-        return wronged;
     }
 
     // The simulation's own share is in it: an upper bound of what the state machine takes.
