Word between balancers: past 1,824 balancers one line names the limit

Need: sums over the fleet end at 114 blocks of 16; a larger fleet went on with neighbours alone and said nothing of it. Change: one line at the start.

--- a/balancer/src/main/java/junctionhead/Peers.java
+++ b/balancer/src/main/java/junctionhead/Peers.java
@@ -81,6 +81,10 @@
         if (!speaks()) {
             return;
         }
+        if (turn == 0 && !tellsAll && sums == null) {
+            out.remark("sums over the fleet reach " + Blocks.BALANCERS_MOST + " balancers, not "
+                + settings.balancers() + ": of requests only the neighbours' are known");
+        }
         if (now >= tellAt) {
             byte[] text = message(listed, listed.stream().filter(lost).toList(), rate, now);
             if (tellsAll) {
--- a/balancer/src/test/java/junctionhead/PeersTest.java
+++ b/balancer/src/test/java/junctionhead/PeersTest.java
@@ -201,6 +201,14 @@
         assertTrue(harness.told.stream().allMatch(data -> data[0] == 3));
     }
 
+    @Test
+    void aFleetPastTheLimitIsToldSoOnceAndGoesOnWithNeighbours() {
+        Harness harness = harness(1_825, 0, true, 6);
+        harness.pass(5_000_000);
+        assertEquals(1, harness.log.stream().filter(l -> l.contains("fleet reach 1824 balancers")).count());
+        assertEquals(32, Set.copyOf(harness.toldTo).size());
+    }
+
     @Test
     void whatDoesNotFitHasItsTurn() {
         Harness harness = harness(100, 0, true, 300);
