Keep nothing of a server before there is something to keep

Each listed server had two queues of 16 places and a Health for each class from the start: 350 bytes and more that stay empty for most of a large fleet. They come with the first attempt, penalty or news of a class now; what has ended leaves a queue as an attempt ends, and not only as all servers are looked at.

--- a/balancer/src/main/java/junctionhead/Books.java
+++ b/balancer/src/main/java/junctionhead/Books.java
@@ -19,7 +19,7 @@
         private static final double SLOW_MOST = 4;      // one answer counts no more than this
 
         Server server;
-        final Health[] classes;                         // by the number of the class
+        final OfClass[] classes;                        // by the number of the class
         final long hash;
         final int order;                                // seeded shuffle: breaks ties of equal counts
         double count;                                   // accomplishment: faded dispatches
@@ -30,8 +30,8 @@
         long reportedAt;                                // 0 = none yet
         private double slowness = 1;                    // moving mean of latency / usual latency
         private long slownessAt;
-        final ArrayDeque<Attempt> sent = new ArrayDeque<>(); // oldest first; ended ones are dropped lazily
-        final ArrayDeque<Long> penalties = new ArrayDeque<>(); // until when failed attempts keep their slots
+        private ArrayDeque<Attempt> sent;               // oldest first; null: none yet, as for most
+        private ArrayDeque<Long> penalties;             // until when failed attempts keep slots, or null
         double oks;                                     // faded
         double fails;                                   // faded
         long lastOk;
@@ -47,7 +47,7 @@
 
         Node(Server server, int order, int classes) {
             this.server = server;
-            this.classes = Stream.generate(Health::new).limit(classes).toArray(Health[]::new);
+            this.classes = Stream.generate(OfClass::new).limit(classes).toArray(OfClass[]::new);
             this.hash = Hashing.hash(server.id());
             this.order = order;
         }
@@ -73,18 +73,56 @@
 
         /** Slots that failed attempts still keep. */
         int keptSlots(long now) {
-            while (!penalties.isEmpty() && penalties.peekFirst() <= now) {
+            while (penalties != null && penalties.peekFirst() <= now) {
                 penalties.pollFirst();
+                penalties = penalties.isEmpty() ? null : penalties;
             }
-            return penalties.size();
+            return penalties == null ? 0 : penalties.size();
+        }
+
+        /** A failed attempt keeps its slot. */
+        void penalty(long until) {
+            penalties = penalties == null ? new ArrayDeque<>(1) : penalties;
+            penalties.add(until);
         }
 
         /** The attempt that has been out for longest, or null. */
         Attempt oldest() {
-            while (!sent.isEmpty() && !sent.peekFirst().out) {
+            while (sent != null && !sent.isEmpty() && !sent.peekFirst().out) {
                 sent.pollFirst();
             }
-            return sent.peekFirst();
+            return sent == null ? null : sent.peekFirst();
+        }
+
+        private void sends(Attempt a) {
+            sent = sent == null ? new ArrayDeque<>(1) : sent;
+            sent.add(a);
+        }
+    }
+
+    /** A server's health for one class: none is kept where nothing has been seen yet, as for most. */
+    static final class OfClass {
+        private Health health;
+
+        Health health() {
+            health = health == null ? new Health() : health;
+            return health;
+        }
+
+        boolean resting(long now) {
+            return health != null && health.resting(now);
+        }
+
+        boolean admits(long now) {
+            return health == null || health.admits(now);
+        }
+
+        long foundUntil() {
+            return health == null ? 0 : health.foundUntil();
+        }
+
+        void heard(long until) {
+            health().heard(until);
         }
     }
 
@@ -131,7 +169,7 @@
             this.server = node.server;
             this.request = request;
             this.at = at;
-            this.health = node.classes[request.number];
+            this.health = node.classes[request.number].health();
             health.sent();
         }
 
@@ -139,7 +177,7 @@
         void begins(double count) {
             request.attempts.add(this);
             request.out++;
-            node.sent.add(this);
+            node.sends(this);
             node.inFlight++;
             node.count += count;
             node.tokens--;
@@ -151,6 +189,7 @@
             mayHaveRun = mayHaveRunThen;
             request.out--;
             node.inFlight--;
+            node.oldest();                              // lets go of those that have ended
             health.ended();
         }
     }
--- a/balancer/src/main/java/junctionhead/Exclusion.java
+++ b/balancer/src/main/java/junctionhead/Exclusion.java
@@ -120,7 +120,7 @@
      */
     void failed(Node n, double weight, long penalty, double scale, long now, Consumer<String> remark) {
         n.count = Math.max(0, n.count - scale);
-        n.penalties.add(now + penalty);
+        n.penalty(now + penalty);
         n.fails += weight * scale;
         boolean many = n.fails > FAIL_COUNT * scale && n.fails > FAIL_SHARE * (n.fails + n.oks);
         if (weight > 0 && (n.trial > 0 || many) && n.ejectedUntil <= now) {
