Mend the list by what changed, and look only at servers out of the ordinary

Each change of the list made its order, mean weight, ring points and shares of kinds anew for all servers, and each look, ten times a second, went over all servers some ten times: idle, 14,000 servers took 9 % of a core, and 20 changed entries a second all of it.

- Census keeps exact sums by kind and zone as servers come and go.
Points finds the weights whose number of points a moved mean changes.
Ring is cut into short sorted arrays, half a kilobyte a server less than the tree; a walk from home goes on from where earlier ones came to, and begins anew only if a change lies there.
- Watched holds the servers that may be out of the ordinary: cold, sent to in the last two minutes, at rest, cut off.
Looks meet these alone.
Answers older than two minutes (e^-12) no longer count for what is usual.
- A roster holds 20,000 servers; a line names the limit where a list has more.

Sums are exact decimals now.

Each test was seen failing on a scratch copy: with a copy of the list at a look or a change, nothing dropped from those watched, all points placed anew, a walk that goes all round, queues from the start, the mean not passed on, a walk not begun anew, the share not taken anew, binary sums, a place not kept.

--- a/balancer/src/main/java/junctionhead/Balance.java
+++ b/balancer/src/main/java/junctionhead/Balance.java
@@ -9,6 +9,7 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.SplittableRandom;
+import java.util.function.Predicate;
 import java.util.stream.IntStream;
 import junctionhead.Books.Attempt;
 import junctionhead.Books.Node;
@@ -177,12 +178,11 @@
         int wanted = (int) (keyed ? Math.max(KEY_SUBSET,
             KEY_SPREAD * counts.heat(r.key) * roster.listed().size())
             : Math.max(SUBSET, rate * visits));
-        Node[] order = keyed ? roster.ring().order() : roster.homeRing();
-        int from = keyed ? roster.ring().first(Hashing.mix(r.key)) : 0;
+        Iterator<Node> servers = keyed ? roster.ring().from(Hashing.mix(r.key)) : roster.ring().fromHome();
         walk++;
         boolean near = !keyed && settings.prices().crossZone() > settings.prices().handshake();
-        for (int i = 0, warm = 0, met = 0; i < order.length && warm < wanted && met < REACH * wanted; i++) {
-            Node n = order[(from + i) % order.length];
+        for (int warm = 0, met = 0; warm < wanted && met < REACH * wanted && servers.hasNext();) {
+            Node n = servers.next();
             if (n.walk == walk) {
                 continue;
             }
@@ -202,7 +202,7 @@
 
     @Override
     public int avoided(long now) {
-        return (int) roster.listed().stream().filter(n -> n.ejectedUntil > now).count();
+        return (int) roster.watched().stream().filter(n -> n.ejectedUntil > now).count();
     }
 
     @Override
@@ -232,13 +232,15 @@
         };
     }
 
-    // What needs a look at all servers. Guards against work for each wake that grows with the fleet: with
-    // counts that faded at each wake a balancer of 200 servers spent more on its sleep than on requests.
+    // What needs a look at all servers, of which only those watched can be out of the ordinary. Guards
+    // against work for each wake that grows with the fleet: with 14,000 servers that was a tenth of a core.
     private void refresh(long now, Actions out) {
-        List<Node> listed = roster.listed();
-        warming.learn(listed, counts.perServed(now), now);
-        exclusion.look(listed, now);
-        capacity.inReach(listed.size(), roster.share(n -> exclusion.isOut(n, now) ? 0
+        Predicate<Node> warm = n -> warming.warmth(n, now) >= 1;
+        List<Node> watched = roster.tidy(warm, now);
+        int all = roster.listed().size();
+        warming.learn(roster.oks(warm) * counts.perServed(now), roster.weight(warm));
+        exclusion.look(watched, all, now);
+        capacity.inReach(all, roster.share(zone -> zones.of(zone).part, n -> exclusion.isOut(n, now) ? 0
             : zones.of(n.server.zone()).part * warming.usable(n, now)));
         silentPeers = peers.silent(now);
         if (judgesZones) {
@@ -246,7 +248,7 @@
                 capacity.over(capacity.rate() + peers.rate()) > 0, now, out::remark);
         }
         for (int i = 0; i < allFail.length; i++) {
-            allFail[i] = Health.mostRest(listed, i, now);
+            allFail[i] = Health.mostRest(watched, all, i, now);
         }
         turns.values().removeIf(t -> t.line.isEmpty() && now >= t.restUntil);
         counts.tidy(roster);
@@ -647,7 +649,7 @@
         } else {
             subscription.answered();
         }
-        roster.update(servers, kind == ListKind.PARTIAL, now);
+        roster.update(servers, kind == ListKind.PARTIAL, now, line -> remarks.say(now, line, out));
         drainHeld(now, out);
     }
 }
--- a/balancer/src/main/java/junctionhead/Books.java
+++ b/balancer/src/main/java/junctionhead/Books.java
@@ -19,11 +19,19 @@
         private static final double SLOW_MOST = 4;      // one answer counts no more than this
 
         Server server;
+        Server counted;                                 // as listed() and its sums have it; null: they don't
+        final Watched watched;                          // hears of what is out of the ordinary
+        boolean isWatched;
         final OfClass[] classes;                        // by the number of the class
+        long place;                                     // in the order of listed servers
+        int named;                                      // the last list that named it
+        Node before;                                    // its neighbours among those of its weight
+        Node after;
         final long hash;
         final int order;                                // seeded shuffle: breaks ties of equal counts
         double count;                                   // accomplishment: faded dispatches
         int points;                                     // that it has on the ring
+        int near;                                       // the last walk from home that met it
         int walk;                                       // the last walk over the ring that met it
         int inFlight;
         double reported;                                // requests in hand, by its last report
@@ -46,8 +54,13 @@
         long tokensAt;
 
         Node(Server server, int order, int classes) {
+            this(server, order, classes, new Watched());
+        }
+
+        Node(Server server, int order, int classes, Watched watched) {
             this.server = server;
-            this.classes = Stream.generate(OfClass::new).limit(classes).toArray(OfClass[]::new);
+            this.watched = watched;
+            this.classes = Stream.generate(() -> new OfClass(this)).limit(classes).toArray(OfClass[]::new);
             this.hash = Hashing.hash(server.id());
             this.order = order;
         }
@@ -84,6 +97,7 @@
         void penalty(long until) {
             penalties = penalties == null ? new ArrayDeque<>(1) : penalties;
             penalties.add(until);
+            watch();
         }
 
         /** The attempt that has been out for longest, or null. */
@@ -97,13 +111,38 @@
         private void sends(Attempt a) {
             sent = sent == null ? new ArrayDeque<>(1) : sent;
             sent.add(a);
+            watch();
+        }
+
+        /** Something is out of the ordinary, or about to be: looks at servers must not pass it over. */
+        void watch() {
+            watched.add(this);
+        }
+
+        /** Whether, but for its start, all is as for a server that was never sent to, or not of late. */
+        boolean isOrdinary(long quietSince, long now) {
+            if (inFlight > 0 || unreached > 0 || saidLost || ejectedUntil > now || fullUntil > now
+                    || oks > 0 && lastOk > quietSince) {
+                return false;
+            }
+            for (OfClass each : classes) {
+                if (each.resting(now)) {
+                    return false;
+                }
+            }
+            return true;
         }
     }
 
     /** A server's health for one class: none is kept where nothing has been seen yet, as for most. */
     static final class OfClass {
+        private final Node node;
         private Health health;
 
+        OfClass(Node node) {
+            this.node = node;
+        }
+
         Health health() {
             health = health == null ? new Health() : health;
             return health;
@@ -123,6 +162,7 @@
 
         void heard(long until) {
             health().heard(until);
+            node.watch();
         }
     }
 
--- a/balancer/src/main/java/junctionhead/Exclusion.java
+++ b/balancer/src/main/java/junctionhead/Exclusion.java
@@ -58,14 +58,14 @@
     }
 
     /**
-     * Looks at all servers. Bounds ejection: when most look bad the fault is likely elsewhere, and all are
-     * used. Those that can't be connected to don't count while others can be: with a zone of more than half
-     * the servers lost, all were used, and most attempts went to the lost ones.
+     * Looks at all servers; those not watched are well. Bounds ejection: when most look bad the fault is
+     * likely elsewhere, and all are used. Those that can't be connected to don't count while others can be:
+     * with a zone of more than half the servers lost, all were used, and most attempts went to the lost ones.
      */
-    void look(List<Node> listed, long now) {
-        noneReached = listed.stream().allMatch(n -> n.unreached >= CUT_OFF);
-        long reached = listed.stream().filter(n -> !cutOff(n)).count();
-        allLookBad = 2 * listed.stream().filter(n -> !cutOff(n) && looksBad(n, now)).count() > reached;
+    void look(List<Node> watched, int all, long now) {
+        noneReached = watched.stream().filter(n -> n.unreached >= CUT_OFF).count() == all;
+        long reached = all - watched.stream().filter(this::cutOff).count();
+        allLookBad = 2 * watched.stream().filter(n -> !cutOff(n) && looksBad(n, now)).count() > reached;
     }
 
     boolean cutOff(Node n) {
@@ -86,6 +86,7 @@
     // itself: at thin traffic that took two failed attempts a server, and seconds. Who found it tries it.
     void saidLost(Node n, long now) {
         if (n.saidLost || n.unreached < CUT_OFF && now - n.lastOk > EJECT_FIRST) {
+            n.watch();
             n.saidLost = true;
             n.unreached = CUT_OFF;
             n.trial = TRIALS_OK;
--- a/balancer/src/main/java/junctionhead/Health.java
+++ b/balancer/src/main/java/junctionhead/Health.java
@@ -80,8 +80,8 @@
         rest.accept(length);
     }
 
-    /** Bounds the rests: where most servers fail a class the fault is likely in its requests. */
-    static boolean mostRest(List<Books.Node> servers, int number, long now) {
-        return 2 * servers.stream().filter(n -> n.classes[number].resting(now)).count() > servers.size();
+    /** Bounds the rests: where most of all servers fail a class the fault is likely in its requests. */
+    static boolean mostRest(List<Books.Node> watched, int all, int number, long now) {
+        return 2 * watched.stream().filter(n -> n.classes[number].resting(now)).count() > all;
     }
 }
--- a/balancer/src/main/java/junctionhead/Roster.java
+++ b/balancer/src/main/java/junctionhead/Roster.java
@@ -2,103 +2,172 @@
 
 import java.util.ArrayList;
 import java.util.Arrays;
-import java.util.LinkedHashMap;
+import java.util.Collections;
+import java.util.Comparator;
+import java.util.HashMap;
+import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
 import java.util.SplittableRandom;
+import java.util.function.Consumer;
+import java.util.function.IntToDoubleFunction;
 import java.util.function.IntToLongFunction;
 import java.util.function.Predicate;
 import java.util.function.ToDoubleFunction;
+import java.util.stream.IntStream;
 import junctionhead.Books.Node;
 import junctionhead.Policy.Server;
 import junctionhead.Policy.State;
 
 /**
  * The servers that discovery has named, and what follows from the list alone: their ring, mean weight and
- * kinds.
+ * kinds. A change costs by what it changes: sums, ring and order are mended, not made anew.
  */
 final class Roster {
-    private static final int POINTS = 8;                // on the ring, for a server of mean weight
+    /** Servers that it holds at most: more would not fit beside the requests. */
+    static final int MOST = 20_000;
+
+    private static final Comparator<Node> BY_PLACE = Comparator.comparingLong(n -> n.place);
+    private static final int MANY = 64;             // that come or go at once: then sorted
 
     private final SplittableRandom random;
     private final int classes;
-    private final long home;                            // where this balancer's subset starts
-    private final Map<String, Node> nodes = new LinkedHashMap<>();
-    private final Ring ring = new Ring();               // of the listed servers, more points by weight
-    private List<Node> listed = new ArrayList<>();      // up, in the seeded order
-    private Node[] homeRing = {};                       // each server once, from this balancer's point on
+    private final Map<String, Node> nodes = new HashMap<>();
+    private final Set<Node> gone = new LinkedHashSet<>(); // gone with work: held until that has ended
+    private final Ring ring;                            // of the listed servers, more points by weight
+    private final Points points;
+    private final Census census = new Census();         // of the listed servers
+    private final Watched watched = new Watched();
+    private final List<Node> listed = new ArrayList<>(); // up, in the order in which they were first named
     private double meanWeight = 1;                      // of listed servers
-    private double fastShare = 0.5;                     // the paper's p
+    private int lists;
+    private int held;                                   // servers, as far as the list has been read
+    private long places;
 
     Roster(Policy.Settings settings, SplittableRandom random) {
         this.random = random;
         this.classes = settings.classes().size();
-        this.home = (long) ((settings.rank() + 0.5) / settings.balancers() * 0x1p64 - 0x1p63);
+        this.ring = new Ring((long) ((settings.rank() + 0.5) / settings.balancers() * 0x1p64 - 0x1p63));
+        this.points = new Points(ring);
     }
 
-    /** Takes a list in: all of it, or changes ({@code partial}). */
-    void update(List<Server> servers, boolean partial, long now) {
+    /** Where in the order of the list a server is, or would have to be. */
+    static int where(List<Node> ordered, Node n) {
+        int last = ordered.size() - 1;
+        if (last < 0 || ordered.get(last).place < n.place) {
+            return last + 1;
+        }
+        int found = Collections.binarySearch(ordered, n, BY_PLACE);
+        return found < 0 ? -found - 1 : found;
+    }
+
+    /** Takes a list in: all of it, or changes ({@code partial}); {@code remark} hears of a lack of room. */
+    void update(List<Server> servers, boolean partial, long now, Consumer<String> remark) {
+        lists++;
+        held = partial ? nodes.size() : 0;
+        List<Node> changed = new ArrayList<>();
+        int unused = 0;
+        for (Server s : servers) {
+            unused += enter(s, partial, now, changed) ? 0 : 1;
+        }
         if (!partial) {
             for (Node n : nodes.values()) {
-                n.server = n.server.in(State.GONE);
+                if (n.named != lists && n.server.state() != State.GONE) {
+                    n.server = n.server.in(State.GONE);
+                    changed.add(n);
+                }
             }
         }
-        for (Server s : servers) {
-            enter(s, now);
+        List<Node> moved = new ArrayList<>();           // into the list, or out of it
+        for (Node n : changed) {
+            settle(n, moved);
         }
-        listed = new ArrayList<>();
-        for (Node n : nodes.values()) {
-            if (n.server.state() == State.UP) {
-                listed.add(n);
-            }
+        order(moved);
+        meanWeight = census.meanWeight();
+        points.meanIs(meanWeight);
+        changed.forEach(points::place);
+        gone.removeIf(n -> n.server.state() != State.GONE || nodes.get(n.server.id()) != n
+            || n.inFlight == 0 && nodes.remove(n.server.id(), n));
+        if (unused > 0) {
+            remark.accept("list: " + unused + " servers beyond the " + MOST
+                + " that it may hold are not used");
         }
-        arrange();
-        nodes.values().removeIf(n -> n.server.state() == State.GONE && n.inFlight == 0);
-        fastShare = share();
     }
 
-    private void enter(Server s, long now) {
+    // False where there is no room for it.
+    private boolean enter(Server s, boolean partial, long now, List<Node> changed) {
         Node n = nodes.get(s.id());
-        if (n == null || n.server.startedAt() != s.startedAt() && s.startedAt() > 0) {
-            if (n != null) {
-                ring.place(n, 0);
+        if (n == null || !partial && n.named != lists) {
+            if (held >= MOST) {
+                return false;
             }
-            n = new Node(s, random.nextInt(), classes);
+            held++;
+        }
+        if (n == null || n.server.startedAt() != s.startedAt() && s.startedAt() > 0) {
+            Node earlier = n;
+            n = new Node(s, random.nextInt(), classes, watched);
             n.tokens = random.nextDouble();
             n.tokensAt = now;
             n.lastOk = now;
+            n.place = earlier == null ? places++ : earlier.place;
             nodes.put(s.id(), n);
+            if (earlier != null) {
+                earlier.server = earlier.server.in(State.GONE);
+                changed.add(earlier);                   // first: they have one place in the order
+            }
+            changed.add(n);
+        } else if (!n.server.equals(s)) {
+            n.server = s;
+            changed.add(n);
         }
-        n.server = s;
+        n.named = lists;
+        return true;
     }
 
-    private void arrange() {
-        meanWeight = listed.stream().mapToDouble(n -> n.server.weight()).average().orElse(1);
-        for (Node n : nodes.values()) {
-            double share = POINTS * n.server.weight() / meanWeight;
-            int many = (int) Math.max(1, Math.min(8 * POINTS, Math.round(share)));
-            ring.place(n, n.server.state() == State.UP ? many : 0);
-        }
-        homeRing = ring.eachOnce(home);
-    }
-
-    // The paper's p: the share of servers of the kinds whose mean weight is above the mean of all.
-    private double share() {
-        Map<Integer, double[]> kinds = new LinkedHashMap<>();
-        double sum = 0;
-        for (Node n : listed) {
-            double[] k = kinds.computeIfAbsent(n.server.kind(), x -> new double[2]);
-            k[0] += n.server.weight();
-            k[1]++;
-            sum += n.server.weight();
-        }
-        double fast = 0;
-        for (double[] k : kinds.values()) {
-            if (k[0] / k[1] >= sum / listed.size()) {
-                fast += k[1];
+    // Has the sums count a server as it is now.
+    private void settle(Node n, List<Node> moved) {
+        Server is = n.server.state() == State.UP ? n.server : null;
+        Server was = n.counted;
+        if (n.server.state() == State.GONE) {
+            gone.add(n);
+        }
+        if (is == was) {
+            return;
+        }
+        if (was != null) {
+            census.count(was, false);
+            points.remove(n, was.weight());
+        }
+        if (is != null) {
+            census.count(is, true);
+            points.add(n, is.weight());
+        }
+        if (is == null) {
+            watched.remove(n);
+        }
+        n.counted = is;
+        n.watch();
+        if (is == null || was == null) {
+            moved.add(n);
+        }
+    }
+
+    private void order(List<Node> moved) {
+        if (moved.size() > MANY) {
+            listed.removeIf(n -> n.counted == null);
+            moved.stream().filter(n -> n.counted != null).forEach(listed::add);
+            listed.sort(BY_PLACE);
+            return;
+        }
+        for (Node n : moved) {
+            int where = where(listed, n);
+            if (n.counted == null) {
+                listed.remove(where);
+            } else {
+                listed.add(where, n);
             }
         }
-        return kinds.size() < 2 ? 0.5 : fast / listed.size();
     }
 
     /** Those that are up; the caller leaves the list as it is. */
@@ -106,23 +175,34 @@
         return listed;
     }
 
+    /** Those of them that may be out of the ordinary, in the same order: cold, sent to, at rest, cut off. */
+    List<Node> watched() {
+        return watched.nodes();
+    }
+
+    /** Drops those watched that are ordinary again; returns those left. */
+    List<Node> tidy(Predicate<Node> warm, long now) {
+        watched.tidy(warm, now);
+        return watched.nodes();
+    }
+
     /**
      * Of each zone that servers name, what is known of them: {@code silent} tells who seems gone, {@code
      * from} since when an answer counts.
      */
     List<Books.Tally> tallies(Predicate<Node> silent, IntToLongFunction from) {
-        int zones = 1 + listed.stream().mapToInt(n -> n.server.zone()).max().orElse(-1);
-        int[][] counts = new int[zones][3];
-        for (Node n : listed) {
-            if (n.server.zone() >= 0) {
-                int[] of = counts[n.server.zone()];
+        int[][] counts = new int[census.zones()][2];
+        for (Node n : watched.nodes()) {
+            int zone = n.server.zone();
+            if (zone >= 0) {
                 boolean out = silent.test(n);
-                of[0]++;
-                of[1] += out ? 1 : 0;
-                of[2] += !out && n.oks > 0 && n.lastOk >= from.applyAsLong(n.server.zone()) ? 1 : 0;
+                counts[zone][0] += out ? 1 : 0;
+                counts[zone][1] += !out && n.oks > 0 && n.lastOk >= from.applyAsLong(zone) ? 1 : 0;
             }
         }
-        return Arrays.stream(counts).map(c -> new Books.Tally(c[0], c[1], c[2])).toList();
+        return IntStream.range(0, counts.length)
+            .mapToObj(zone -> new Books.Tally(census.inZone(zone), counts[zone][0], counts[zone][1]))
+            .toList();
     }
 
     /**
@@ -145,6 +225,7 @@
             if (n == null || n.server.startedAt() != k.startedAt()) {
                 continue;
             }
+            n.watch();
             n.count = k.count() * scale;
             n.oks = k.served() * scale;
             n.fails = k.failed() * scale;
@@ -176,11 +257,6 @@
         }
     }
 
-    /** Each listed server once, from this balancer's point of the ring on. */
-    Node[] homeRing() {
-        return homeRing;
-    }
-
     Ring ring() {
         return ring;
     }
@@ -189,14 +265,38 @@
         return meanWeight;
     }
 
-    /** The mean of what servers have of something, weighted as they are. */
-    double share(ToDoubleFunction<Node> of) {
-        return listed.stream().mapToDouble(n -> of.applyAsDouble(n) * n.server.weight()).sum()
-            / Math.max(1e-9, listed.size() * meanWeight);
+    /** Of the listed servers that are so; those not watched are warm. */
+    double weight(Predicate<Node> warm) {
+        double weight = census.weight();
+        for (Node n : watched.nodes()) {
+            weight -= warm.test(n) ? 0 : n.server.weight();
+        }
+        return weight;
+    }
+
+    /** Faded answers of the listed servers that are so; those not watched have given none of late. */
+    double oks(Predicate<Node> warm) {
+        double oks = 0;
+        for (Node n : watched.nodes()) {
+            oks += warm.test(n) ? n.oks : 0;
+        }
+        return oks;
+    }
+
+    /**
+     * The mean of what servers have of something, weighted as they are: those watched {@code of}, all others
+     * what is ordinary in their zone.
+     */
+    double share(IntToDoubleFunction ordinary, ToDoubleFunction<Node> of) {
+        double sum = census.sum(ordinary);
+        for (Node n : watched.nodes()) {
+            sum += (of.applyAsDouble(n) - ordinary.applyAsDouble(n.server.zone())) * n.server.weight();
+        }
+        return sum / Math.max(1e-9, listed.size() * meanWeight);
     }
 
     /** The paper's p, from 0 to 1. */
     double fastShare() {
-        return fastShare;
+        return census.fastShare();
     }
 }
--- a/balancer/src/main/java/junctionhead/Warming.java
+++ b/balancer/src/main/java/junctionhead/Warming.java
@@ -1,6 +1,5 @@
 package junctionhead;
 
-import java.util.List;
 import junctionhead.Books.Node;
 
 /** Rule 4: a cold server gets its part of what warm ones of like weight take, from nothing on. */
@@ -46,19 +45,8 @@
         return n.tokens >= 1;
     }
 
-    /**
-     * Learns from the answers of warm servers; {@code perAnswer}: answers per second that a faded one stands
-     * for.
-     */
-    void learn(List<Node> listed, double perAnswer, long now) {
-        double oks = 0;
-        double weight = 0;
-        for (Node n : listed) {
-            if (warmth(n, now) >= 1) {
-                oks += n.oks;
-                weight += n.server.weight();
-            }
-        }
-        warmRate = weight <= 0 ? 0 : oks * perAnswer / weight;
+    /** Learns from warm servers: so many answers a second, by servers of so much weight. */
+    void learn(double answers, double weight) {
+        warmRate = weight <= 0 ? 0 : answers / weight;
     }
 }
