--- a/balancer/src/main/java/junctionhead/Books.java
+++ b/balancer/src/main/java/junctionhead/Books.java
@@ -19,19 +19,27 @@
         private static final double SLOW_MOST = 4;      // one answer counts no more than this
 
         Server server;
-        final Health[] classes;                         // by the number of the class
+        Server counted;                                 // as listed() and its sums have it; null: they don't
+        final Watched watched;                          // hears of what is out of the ordinary
+        boolean isWatched;
+        final OfClass[] classes;                        // by the number of the class
+        long place;                                     // in the order of listed servers
+        int named;                                      // the last list that named it
+        Node before;                                    // its neighbours among those of its weight
+        Node after;
         final long hash;
         final int order;                                // seeded shuffle: breaks ties of equal counts
         double count;                                   // accomplishment: faded dispatches
         int points;                                     // that it has on the ring
+        int near;                                       // the last walk from home that met it
         int walk;                                       // the last walk over the ring that met it
         int inFlight;
         double reported;                                // requests in hand, by its last report
         long reportedAt;                                // 0 = none yet
         private double slowness = 1;                    // moving mean of latency / usual latency
         private long slownessAt;
-        final ArrayDeque<Attempt> sent = new ArrayDeque<>(); // oldest first; ended ones are dropped lazily
-        final ArrayDeque<Long> penalties = new ArrayDeque<>(); // until when failed attempts keep their slots
+        private ArrayDeque<Attempt> sent;               // oldest first; null: none yet, as for most
+        private ArrayDeque<Long> penalties;             // until when failed attempts keep slots, or null
         double oks;                                     // faded
         double fails;                                   // faded
         long lastOk;
@@ -46,8 +54,13 @@
         long tokensAt;
 
         Node(Server server, int order, int classes) {
+            this(server, order, classes, new Watched());
+        }
+
+        Node(Server server, int order, int classes, Watched watched) {
             this.server = server;
-            this.classes = Stream.generate(Health::new).limit(classes).toArray(Health[]::new);
+            this.watched = watched;
+            this.classes = Stream.generate(() -> new OfClass(this)).limit(classes).toArray(OfClass[]::new);
             this.hash = Hashing.hash(server.id());
             this.order = order;
         }
@@ -73,18 +86,83 @@
 
         /** Slots that failed attempts still keep. */
         int keptSlots(long now) {
-            while (!penalties.isEmpty() && penalties.peekFirst() <= now) {
+            while (penalties != null && penalties.peekFirst() <= now) {
                 penalties.pollFirst();
+                penalties = penalties.isEmpty() ? null : penalties;
             }
-            return penalties.size();
+            return penalties == null ? 0 : penalties.size();
+        }
+
+        /** A failed attempt keeps its slot. */
+        void penalty(long until) {
+            penalties = penalties == null ? new ArrayDeque<>(1) : penalties;
+            penalties.add(until);
+            watch();
         }
 
         /** The attempt that has been out for longest, or null. */
         Attempt oldest() {
-            while (!sent.isEmpty() && !sent.peekFirst().out) {
+            while (sent != null && !sent.isEmpty() && !sent.peekFirst().out) {
                 sent.pollFirst();
             }
-            return sent.peekFirst();
+            return sent == null ? null : sent.peekFirst();
+        }
+
+        private void sends(Attempt a) {
+            sent = sent == null ? new ArrayDeque<>(1) : sent;
+            sent.add(a);
+            watch();
+        }
+
+        /** Something is out of the ordinary, or about to be: looks at servers must not pass it over. */
+        void watch() {
+            watched.add(this);
+        }
+
+        /** Whether, but for its start, all is as for a server that was never sent to, or not of late. */
+        boolean isOrdinary(long quietSince, long now) {
+            if (inFlight > 0 || unreached > 0 || saidLost || ejectedUntil > now || fullUntil > now
+                    || oks > 0 && lastOk > quietSince) {
+                return false;
+            }
+            for (OfClass each : classes) {
+                if (each.resting(now)) {
+                    return false;
+                }
+            }
+            return true;
+        }
+    }
+
+    /** A server's health for one class: none is kept where nothing has been seen yet, as for most. */
+    static final class OfClass {
+        private final Node node;
+        private Health health;
+
+        OfClass(Node node) {
+            this.node = node;
+        }
+
+        Health health() {
+            health = health == null ? new Health() : health;
+            return health;
+        }
+
+        boolean resting(long now) {
+            return health != null && health.resting(now);
+        }
+
+        boolean admits(long now) {
+            return health == null || health.admits(now);
+        }
+
+        long foundUntil() {
+            return health == null ? 0 : health.foundUntil();
+        }
+
+        void heard(long until) {
+            health().heard(until);
+            node.watch();
         }
     }
 
@@ -131,7 +209,7 @@
             this.server = node.server;
             this.request = request;
             this.at = at;
-            this.health = node.classes[request.number];
+            this.health = node.classes[request.number].health();
             health.sent();
         }
 
@@ -139,7 +217,7 @@
         void begins(double count) {
             request.attempts.add(this);
             request.out++;
-            node.sent.add(this);
+            node.sends(this);
             node.inFlight++;
             node.count += count;
             node.tokens--;
@@ -151,6 +229,7 @@
             mayHaveRun = mayHaveRunThen;
             request.out--;
             node.inFlight--;
+            node.oldest();                              // lets go of those that have ended
             health.ended();
         }
     }
