Capacity: heap of the first fleet without what the program itself keeps

Need: with 3 balancers the classes loaded meanwhile made a third of the heap figure, or less than nothing.

Change: a small fleet is played before the first one is weighed.

--- a/lab/src/main/java/junctionhead/lab/capacity/Capacity.java
+++ b/lab/src/main/java/junctionhead/lab/capacity/Capacity.java
@@ -11,7 +11,9 @@
 final class Capacity {
     private static final List<String> WORST = List.of("most", "worst", "last", "unknownPairs",
         "overtakenPairs");
-    private static final long ENTRY_BYTES = 1_000;          // of heap for an upstream of a balancer, about
+    private static final int SMALL = 3;
+    private static final long SHORT = 4_000_000;            // µs
+    private static final long ENTRY_BYTES = 1_300;          // of heap for an upstream of a balancer, about
 
     private final Plan plan;
     private final Drives drives;
@@ -30,6 +32,7 @@
 
     /** Figures by name. */
     Map<String, Double> play() throws IOException {
+        loadClasses();
         Map<String, Double> figures = new TreeMap<>();
         for (int n : plan.balancers()) {
             for (int u : plan.upstreams()) {
@@ -51,6 +54,16 @@
         return figures;
     }
 
+    // What the program itself keeps must not count as the first fleet's: with 3 balancers that was a third.
+    private void loadClasses() throws IOException {
+        Site site = new Site(SMALL, 1, 1, plan.classes(), plan.rate(), plan.parts());
+        try (Drive drive = new SimulatedDrive(site, 1)) {
+            Trial trial = new Trial(site, drive, SHORT);
+            trial.start(SHORT, 1);
+            trial.measure(Condition.QUIET);
+        }
+    }
+
     private void fits(int balancers, int upstreams) throws IOException {
         long wanted = plan.parts().contains(Part.MODULE) ? ENTRY_BYTES * balancers * upstreams : 0;
         if (wanted > Runtime.getRuntime().maxMemory()) {
