--- a/lab/src/main/java/junctionhead/lab/cost/CostProcess.java
+++ b/lab/src/main/java/junctionhead/lab/cost/CostProcess.java
@@ -5,8 +5,10 @@
 import java.net.Socket;
 import java.nio.charset.StandardCharsets;
 import java.nio.file.Files;
+import java.nio.file.NoSuchFileException;
 import java.nio.file.Path;
 import java.util.ArrayList;
+import java.util.HashMap;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
@@ -39,6 +41,7 @@
     private final Path log;
     private final Path collections;
     private final Path state;
+    private final Map<String, Long> threads = new HashMap<>(); // ns of each, by its number
 
     /**
      * Starts it in a folder of its own; {@code peers} is null where it has none; {@code own}: variables that
@@ -114,15 +117,19 @@
         }
     }
 
-    /** CPU of all its threads that still run, s. */
+    /** CPU of all its threads so far, s; of those that have ended, what the last call saw. */
     double cpu() throws IOException {
-        long nanos = 0;
         try (var tasks = Files.list(Path.of("/proc", Long.toString(process.pid()), "task"))) {
             for (Path task : tasks.toList()) {
-                nanos += Long.parseLong(Files.readString(task.resolve("schedstat")).split(" ")[0]);
+                try {
+                    threads.put(task.getFileName().toString(),
+                        Long.parseLong(Files.readString(task.resolve("schedstat")).split(" ")[0]));
+                } catch (NoSuchFileException e) {
+                    continue;                               // it has ended meanwhile
+                }
             }
         }
-        return nanos / 1e9;
+        return threads.values().stream().mapToLong(nanos -> nanos).sum() / 1e9;
     }
 
     /** Resident memory, MB of 1,024 kB. */
