Lab cost: how many of a tier's peers speak to the measured process

With the bounded word a balancer hears its neighbours by number, not all others: `speakers=32` has half of them next above it speak and half next below.

--- a/lab/src/main/java/junctionhead/lab/cost/Cost.java
+++ b/lab/src/main/java/junctionhead/lab/cost/Cost.java
@@ -63,7 +63,7 @@
         InetSocketAddress peerListen = addresses.free(addresses.peers(0));
         try (Spawner spawner = new Spawner(); CostStand stand = new CostStand(size, addresses.parties(0));
                 CostPeers peers = size.balancers() == 1 ? null
-                    : new CostPeers(size.balancers() - 1, peerListen);
+                    : new CostPeers(size.balancers() - 1, size.speakers(), peerListen);
                 CostProcess process = new CostProcess(spawner, launch, folder, size, stand, addresses,
                         peerListen, peers == null ? null : peers.addresses(), own)) {
             figures.add(size.key() + "list_bytes", Json.text(stand.known()).length());
