No attempt begins for a client whose end is in the system's buffer unread

Cause: that a client had left was known once the loop had read its end. An attempt that began before that, in the same turn, was written: a further one after a failed one, one of many that were held, one whose connection came up. In a long turn, or after the loop stood still, that is any time after the end. Behind a long body the end was looked for up to 256 KiB; beyond, the request became whole and ran.

Change: Presence reads a client's connection as an attempt begins (in Dispatcher.send, and in mayBegin as its connection comes up) and before a request is handed over, unless a read found nothing more within 20 ms. The last part of a long body is held back until what stands behind it has been read: where that is the end, the request never becomes whole. The module may now give an attempt up while it is asked for it: Upstreams.begin.

With the mend taken out 8 of LeavingTest's 24 cases fail: a held request that goes out on a resting connection (one, and one of 300; end and reset), a further attempt after "turned away", one whose connection comes up in the turn in which its client leaves, and 1.5 MB, counted or chunked, behind which the client had left 0.3 s before the attempt began: it became whole. With the mend all 24 pass. Stall is bounded: a test that failed amid one never ended.

--- a/balancer/src/main/java/junctionhead/net/ClientServer.java
+++ b/balancer/src/main/java/junctionhead/net/ClientServer.java
@@ -161,7 +161,7 @@
             @Override
             protected void initChannel(Channel channel) {
                 Client client = new Client(channel);
-                channel.pipeline().addLast(client.new Arrivals(), client.decoder,
+                channel.pipeline().addLast(client.presence, client.new Arrivals(), client.decoder,
                     new HttpResponseEncoder(), client.new Gate(), client);
                 client.opened();
             }
@@ -345,6 +345,7 @@
     /** One connection of a client. */
     private final class Client extends SimpleChannelInboundHandler<HttpObject> {
         private final Channel channel;
+        private final Presence presence;
         private final ArrayDeque<FullHttpRequest> ahead = new ArrayDeque<>();
         private Dispatcher.Taken taken;             // while the module owes an answer here
         private HttpRequest head;                   // of the request that comes, null between requests
@@ -371,6 +372,12 @@
 
         Client(Channel channel) {
             this.channel = channel;
+            this.presence = new Presence(channel, READS_MOST);
+        }
+
+        // While a long body comes its own way looks for the end, within the bounds of what may be held of it.
+        boolean hasLeft() {
+            return upload == null ? presence.hasLeft() : !channel.isActive();
         }
 
         void opened() {
@@ -518,7 +525,9 @@
                     upload();
                 }
             }
-            if (upload != null) {
+            if (upload != null && last) {
+                upload.end(content.content().retain());
+            } else if (upload != null) {
                 upload.add(content.content().retain());
             } else if (content.content().isReadable()) {
                 if (gathered == null) {
@@ -605,7 +614,6 @@
         private void uploaded() {
             receiving = false;
             requestCame();
-            upload.end();
             if (uploading) {
                 handedOver();
             } else {
@@ -833,7 +841,7 @@
         }
 
         private void answered() {
-            if (!channel.isActive()) {
+            if (hasLeft()) {
                 return;                             // its client has left, and nothing is owed any more
             }
             busy = false;
@@ -916,6 +924,11 @@
             this.keep = keep;
         }
 
+        @Override
+        public boolean isAwaited() {
+            return !client.hasLeft();
+        }
+
         @Override
         public void serve(FullHttpResponse answer) {
             given = true;
--- a/balancer/src/main/java/junctionhead/net/Dispatcher.java
+++ b/balancer/src/main/java/junctionhead/net/Dispatcher.java
@@ -29,6 +29,9 @@
 
     /** Where the one final answer to a request goes. */
     interface Reply {
+        /** Whether its client is still there, as of now. */
+        boolean isAwaited();
+
         /** Served: passes the upstream's body on; the caller keeps the response. */
         void serve(FullHttpResponse answer);
 
@@ -242,6 +245,13 @@
         }
     }
 
+    // What binds is the instant in which an attempt begins, not that in which the loop reads the client's end.
+    private void leaveIfGone(Exchange x) {
+        if (!x.closed && !x.reply.isAwaited()) {
+            gone(x);
+        }
+    }
+
     // Rule 1 where the module stays silent or has thrown: the client gets a failure while it still listens.
     private void lastResort(Exchange x) {
         if (x.uploading && x.out > 0) {
@@ -427,6 +437,7 @@
         if (x == null) {
             return;
         }
+        leaveIfGone(x);
         long now = now();
         Attempt a = new Attempt(x, x.attempts.size(), server, now);
         x.attempts.add(a);
@@ -443,6 +454,7 @@
             a.call = upstreams.send(server, x.order, wait, new Upstreams.Listener() {
                 @Override
                 public boolean mayBegin() {
+                    leaveIfGone(x);
                     return !x.closed && policy.mayBegin(now(), x.id, a.number);
                 }
 
--- /dev/null
+++ b/balancer/src/main/java/junctionhead/net/Presence.java
@@ -0,0 +1,61 @@
+package junctionhead.net;
+
+import io.netty.channel.Channel;
+import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.ChannelInboundHandlerAdapter;
+import io.netty.channel.nio.AbstractNioChannel;
+
+/**
+ * Tells whether a client is there, as of now and not as of when the loop last came to its connection. Guards
+ * against attempts that begin for clients that have left: an end stands in the system's buffer until it is
+ * read, and in a long turn of the loop, or after it stood still, others are read before it.
+ */
+final class Presence extends ChannelInboundHandlerAdapter {
+    // An attempt may begin for 0.1 s after its client's end: what was found that lately need not be looked
+    // for again, and as a rule a request is sent on right after it was read.
+    private static final long FRESH_NS = 20_000_000;
+    private static final int LOOKS_MOST = 4;        // of several reads each, where much stands before an end
+    private final Channel channel;
+    private final int readsMost;
+    private boolean reading;                        // this connection is being read further up the stack
+    private int reads;                              // of this look
+    private long emptyAt;                           // when a read last found nothing more
+
+    /** {@code readsMost}: after so many the loop turns to other connections, whether more is there or not. */
+    Presence(Channel channel, int readsMost) {
+        this.channel = channel;
+        this.readsMost = readsMost;
+        this.emptyAt = System.nanoTime() - FRESH_NS;
+    }
+
+    /** Whether the client has left; what it has sent before is read, and handled, first. */
+    boolean hasLeft() {
+        if (!reading && channel.unsafe() instanceof AbstractNioChannel.NioUnsafe socket) {
+            for (int i = 0; i < LOOKS_MOST && channel.isActive() && isStale(); i++) {
+                socket.read();
+            }
+        }
+        return !channel.isActive();
+    }
+
+    private boolean isStale() {
+        return System.nanoTime() - emptyAt >= FRESH_NS;
+    }
+
+    @Override
+    public void channelRead(ChannelHandlerContext context, Object bytes) {
+        reading = true;
+        reads++;
+        context.fireChannelRead(bytes);
+    }
+
+    @Override
+    public void channelReadComplete(ChannelHandlerContext context) {
+        reading = false;
+        if (reads < readsMost) {
+            emptyAt = System.nanoTime();
+        }
+        reads = 0;
+        context.fireChannelReadComplete();
+    }
+}
--- a/balancer/src/main/java/junctionhead/net/Relay.java
+++ b/balancer/src/main/java/junctionhead/net/Relay.java
@@ -2,6 +2,7 @@
 
 import io.netty.buffer.ByteBuf;
 import io.netty.channel.Channel;
+import io.netty.channel.nio.AbstractNioChannel;
 import io.netty.handler.codec.http.DefaultHttpContent;
 import io.netty.handler.codec.http.LastHttpContent;
 import java.util.ArrayDeque;
@@ -52,6 +53,7 @@
     private long held;                              // waiting, or written and not yet taken by the system
     private long moved = System.nanoTime();
     private boolean ended;                          // the source has given all
+    private ByteBuf last;                           // of it, held back until the source has been looked at
     private boolean lastWritten;
     private boolean flowing;
     private boolean over;
@@ -112,7 +114,13 @@
 
     /** The source breaks off. */
     void cut() {
-        if (!over && !ended) {
+        if (!ended) {
+            breakOff();
+        }
+    }
+
+    private void breakOff() {
+        if (!over) {
             finish();
             if (listener != null) {
                 listener.cut();
@@ -120,6 +128,38 @@
         }
     }
 
+    /**
+     * The same, with the last part. It goes on once all that stands behind it has been read: where that is
+     * the source's end its client has left, maybe long ago, and its request must not become whole.
+     */
+    void end(ByteBuf part) {
+        if (over || ended) {
+            part.release();
+            return;
+        }
+        last = part;
+        end();
+        source.eventLoop().execute(() -> {
+            if (source.unsafe() instanceof AbstractNioChannel.NioUnsafe socket && source.isActive()) {
+                socket.read();
+            }
+            ByteBuf rest = last;
+            last = null;
+            if (over || !source.isActive()) {
+                rest.release();
+                breakOff();
+            } else {
+                if (rest.isReadable()) {
+                    hold(rest.readableBytes() + PART);
+                    waiting.add(rest);
+                } else {
+                    rest.release();
+                }
+                flow();
+            }
+        });
+    }
+
     // ---------------------------------------------------------------- the sink
 
     /** Begins to write, after what has been written there already. */
@@ -163,7 +203,7 @@
                     wrote = false;
                 }
             }
-            if (!over && ended && waiting.isEmpty() && !lastWritten) {
+            if (!over && ended && last == null && waiting.isEmpty() && !lastWritten) {
                 lastWritten = true;
                 sink.writeAndFlush(LastHttpContent.EMPTY_LAST_CONTENT).addListener(done -> {
                     if (done.isSuccess() && !over) {
--- a/balancer/src/main/java/junctionhead/net/Upstreams.java
+++ b/balancer/src/main/java/junctionhead/net/Upstreams.java
@@ -267,21 +267,30 @@
             if (!done.isSuccess()) {
                 connection.finish(Outcome.CONNECT_FAILED, null, null);
                 connection.channel.close();
-            } else if (connection.call == null) {
-                connection.rest();          // its attempt was given up meanwhile: the handshake is paid for
-            } else if (clock.getAsLong() >= u.stopAt || !connection.call.listener.mayBegin()) {
-                // What holds is the instant of the write: the list, or what the request allows, has changed
-                // while this one waited for its connection.
-                Call late = connection.call;
-                connection.call = null;
-                connection.rest();
-                late.end(Outcome.NOT_SENT, null, null);
             } else {
-                connection.write(connection.call);
+                begin(connection);
             }
         });
     }
 
+    // What holds is the instant of the write: the list, or what the request allows, may have changed while it
+    // waited for its connection, and its attempt may be given up as it is asked for.
+    private void begin(Connection connection) {
+        Call waiting = connection.call;
+        boolean begins = waiting != null && clock.getAsLong() < connection.upstream.stopAt
+            && waiting.listener.mayBegin();
+        if (begins && connection.call != null) {
+            connection.write(waiting);
+            return;
+        }
+        Call late = connection.call;
+        connection.call = null;
+        connection.rest();                          // the handshake is paid for
+        if (late != null) {
+            late.end(Outcome.NOT_SENT, null, null);
+        }
+    }
+
     // ---------------------------------------------------------------- idle connections
 
     void closeIdle(String server) {
--- a/balancer/src/test/java/junctionhead/net/Crossing.java
+++ b/balancer/src/test/java/junctionhead/net/Crossing.java
@@ -20,10 +20,22 @@
  */
 @Timeout(60)
 abstract class Crossing {
-    /** A module that may leave attempts of those who left alone, and may say no to a late write. */
+    /** A module that may leave attempts of those who left alone, say no to a late write, or try once more. */
     static final class Module extends Scripted {
         volatile boolean cancels = true;
         volatile boolean mayBegin = true;
+        volatile boolean triesAgain;
+
+        @Override
+        public void outcome(long now, String request, int attempt, Outcome outcome, long latency,
+                boolean closed, Load load, Actions out) {
+            if (triesAgain && !closed && outcome == Outcome.FULL) {
+                told.add("again");
+                out.send(request, "s1", 0);
+            } else {
+                super.outcome(now, request, attempt, outcome, latency, closed, load, out);
+            }
+        }
 
         @Override
         public void clientGone(long now, String request, Actions out) {
--- a/balancer/src/test/java/junctionhead/net/LeavingTest.java
+++ b/balancer/src/test/java/junctionhead/net/LeavingTest.java
@@ -1,10 +1,15 @@
 package junctionhead.net;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import java.io.IOException;
+import java.io.InputStream;
+import java.io.OutputStream;
 import java.net.Socket;
+import java.net.SocketException;
+import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
 import java.util.List;
 import junctionhead.net.NodeTest.Client;
@@ -64,6 +69,100 @@
         }
     }
 
+    /** The loop stands still as they leave, and comes to their attempts before it comes to their ends. */
+    @ParameterizedTest
+    @CsvSource({"1,false", "1,true", "300,false", "300,true"})
+    void whoseAttemptsBeginBeforeTheLoopHasReadThatTheyLeftAreSentNothingFor(int many, boolean reset)
+            throws Exception {
+        start();
+        try (Client first = new Client(at).send(request("r0"))) {
+            serves(first, "r0");                    // a connection rests: nothing is waited for
+            taken();
+            assertEquals("OK closed", module.next());
+        }
+        module.server = null;
+        List<Client> gone = new ArrayList<>();
+        List<String> held = new ArrayList<>();
+        for (int i = 0; i < many; i++) {
+            gone.add(new Client(at).send(request("gone" + i)));
+            taken();
+            held.add(module.taken);
+        }
+        Stall stall = new Stall(node.loop(), () -> held.forEach(r -> module.actions.send(r, "s1", 0)));
+        for (Client client : gone) {
+            client.socket.setSoLinger(reset, 0);
+            client.close();
+        }
+        aWhile();
+        stall.release();
+        for (int i = 0; i < many; i++) {
+            assertEquals("gone", module.next());
+            assertEquals("NOT_SENT closed", module.next());
+        }
+        module.server = "s1";
+        try (Client next = new Client(at).send(request("r2"))) {
+            serves(next, "r2");
+        }
+        assertEquals(1, upstream.connections());
+    }
+
+    /** It is turned away, and leaves; the loop reads the answer first and has another attempt made. */
+    @Test
+    void whoLeavesBetweenTwoAttemptsIsSentNothingMoreFor() throws Exception {
+        start();
+        module.triesAgain = true;
+        Client gone = new Client(at).send(request("gone"));
+        taken();
+        FakeUpstream.Got got = upstream.next();
+        Stall stall = new Stall(node.loop());
+        got.answer(503, "Srv-Declined: 1\r\n", "");
+        aWhile();                                   // the answer is the first that the loop finds
+        gone.close();
+        aWhile();
+        stall.release();
+        assertEquals("again", module.next());
+        assertEquals("gone", module.next());
+        assertEquals("NOT_SENT closed", module.next());
+        try (Client next = new Client(at).send(request("r2"))) {
+            serves(next, "r2");
+        }
+    }
+
+    /** The connection comes up and the client leaves while the loop stands still, in this order. */
+    @ParameterizedTest
+    @ValueSource(booleans = {false, true})
+    void whoLeavesInTheTurnInWhichItsConnectionComesUpIsSentNothingFor(boolean cancels) throws Exception {
+        try (ClosedDoor door = new ClosedDoor()) {
+            start(door.address());
+            module.cancels = cancels;
+            Client gone = new Client(at).send(request("gone"));
+            taken();
+            for (int i = 0; i < 3; i++) {
+                node.loop().submit(() -> { }).get();    // it has begun to connect
+            }
+            Stall stall = new Stall(node.loop());
+            Socket opened = door.open();
+            aWhile();
+            gone.close();
+            aWhile();
+            stall.release();
+            assertEquals("gone", module.next());
+            assertEquals("NOT_SENT closed", module.next());
+            try (Client next = new Client(at)) {
+                next.send(request("r2"));
+                assertTrue(FakeUpstream.head(opened.getInputStream()).contains("Req-Id: r2"));
+            }
+        }
+    }
+
+    // More than an attempt may begin after its client has left.
+    private static void aWhile() {
+        long until = System.nanoTime() + 150_000_000;
+        while (System.nanoTime() < until) {
+            Thread.onSpinWait();
+        }
+    }
+
     /** Where nothing may be cancelled, too: a connection that comes up later is not used for it. */
     @ParameterizedTest
     @ValueSource(booleans = {false, true})
@@ -130,6 +229,59 @@
         }
     }
 
+    /**
+     * All of its body is on its way, and its end behind more than is read while its connection is made: the
+     * attempt that begins then never gets its last byte, and so never was one.
+     */
+    @ParameterizedTest
+    @ValueSource(booleans = {false, true})
+    void whoLeftBehindALongBodyNeverHasItsRequestMadeWhole(boolean chunked) throws Exception {
+        int length = 1_500_000;
+        try (ClosedDoor door = new ClosedDoor()) {
+            start(door.address());
+            module.cancels = false;
+            Client gone = new Client(at).send("POST /api/k1 HTTP/1.1\r\nHost: x\r\nReq-Id: gone\r\n"
+                + "Req-Kind: book\r\nReq-Deadline-Ms: 20000\r\n"
+                + (chunked ? "Transfer-Encoding: chunked\r\n\r\n" : "Content-Length: " + length
+                + "\r\n\r\n"));
+            Thread sending = new Thread(() -> {
+                try {
+                    OutputStream out = gone.socket.getOutputStream();
+                    out.write(chunked ? (Integer.toHexString(length) + "\r\n").getBytes() : new byte[0]);
+                    out.write(new byte[length]);
+                    out.write(chunked ? "\r\n0\r\n\r\n".getBytes() : new byte[0]);
+                    gone.close();
+                } catch (IOException e) {
+                    Thread.currentThread().interrupt();
+                }
+            });
+            sending.start();
+            assertEquals("uploading", module.next());
+            sending.join(2_000);                    // the system has taken in what it takes in
+            aWhile();
+            aWhile();
+            Socket opened = door.open();
+            assertTrue(FakeUpstream.head(opened.getInputStream()).contains("Req-Id: gone"));
+            assertFalse(isWhole(opened.getInputStream(), chunked ? -1 : length));
+        }
+    }
+
+    // Reads until its last byte has come, or the connection has ended before.
+    private static boolean isWhole(InputStream body, long length) throws IOException {
+        try {
+            if (length >= 0) {
+                return body.readNBytes((int) length).length == length;
+            }
+            FakeUpstream.chunks(body);
+            return true;
+        } catch (SocketException | NumberFormatException e) {
+            return false;                           // it was reset, or ended amid a chunk
+        } catch (IOException e) {
+            assertTrue(e.getMessage().contains("amid"), e.toString());
+            return false;
+        }
+    }
+
     /** Much at once and gone: a line without end, requests ahead of answers, a body that never is whole. */
     @ParameterizedTest
     @ValueSource(strings = {"line", "requests", "body"})
--- a/balancer/src/test/java/junctionhead/net/Stall.java
+++ b/balancer/src/test/java/junctionhead/net/Stall.java
@@ -2,6 +2,7 @@
 
 import io.netty.channel.EventLoop;
 import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.TimeUnit;
 
 /** Holds a balancer's loop, so that all that happens until it goes on meets in one turn of it. */
 final class Stall {
@@ -14,7 +15,7 @@
         loop.execute(() -> {
             held.countDown();
             try {
-                released.await();
+                released.await(30, TimeUnit.SECONDS);       // a test that fails meanwhile must end, too
             } catch (InterruptedException e) {
                 Thread.currentThread().interrupt();
             }
