Lab: `verify` holds docs/CAPACITY.md to its files

The page's figures drift as soon as a file is measured anew and the page is not. A test runs the check over the page; it fails with a line for each figure that differs.

--- a/lab/src/test/java/junctionhead/lab/figures/FigurePageTest.java
+++ b/lab/src/test/java/junctionhead/lab/figures/FigurePageTest.java
@@ -107,4 +107,12 @@
         assertEquals(Map.of("odd", 2.0, "odd.least", 1.0, "odd.most", 3.0, "even", 2.5, "even.least", 1.0,
             "even.most", 4.0, "once", 12350.0), repeats.figures());
     }
+
+    /** The page that the operators rely on agrees with the files beside it. */
+    @Test
+    void theCapacityPageStandsOnItsFiles() throws IOException {
+        FigurePage.Check check = FigurePage.check(Path.of("../docs/CAPACITY.md"));
+        assertEquals(List.of(), check.faults());
+        assertTrue(check.figures() > 20, "only " + check.figures() + " figures stand on files");
+    }
 }
