--- a/balancer/src/main/java/junctionhead/net/Discovery.java
+++ b/balancer/src/main/java/junctionhead/net/Discovery.java
@@ -23,7 +23,6 @@
 import io.netty.handler.codec.http.LastHttpContent;
 import io.netty.handler.codec.json.JsonObjectDecoder;
 import java.net.InetSocketAddress;
-import java.nio.charset.StandardCharsets;
 import java.util.List;
 import java.util.concurrent.Future;
 import java.util.concurrent.TimeUnit;
@@ -191,7 +190,7 @@
                 return;
             }
             try {
-                Targets targets = Targets.parse(list.toString(StandardCharsets.UTF_8), boot);
+                Targets targets = Targets.parse(list, boot);
                 if ((answered || !watching) && targets.rev() < rev) {
                     finish();                       // older than what has been heard already
                 } else {
--- a/balancer/src/main/java/junctionhead/net/StateKeeper.java
+++ b/balancer/src/main/java/junctionhead/net/StateKeeper.java
@@ -5,7 +5,6 @@
 import java.io.UncheckedIOException;
 import java.nio.channels.FileChannel;
 import java.nio.channels.OverlappingFileLockException;
-import java.nio.charset.StandardCharsets;
 import java.nio.file.Path;
 import java.nio.file.StandardOpenOption;
 import java.util.LinkedHashMap;
@@ -155,7 +154,7 @@
             return known;
         }
         try {
-            Targets kept = Targets.parse(new String(found.content(), StandardCharsets.UTF_8), boot);
+            Targets kept = Targets.parse(found.content(), 0, found.content().length, boot);
             if (kept.rev() > known.rev()) {
                 log.accept("state: list revision " + kept.rev() + " with " + kept.list().size()
                     + " upstreams, where the configuration knew " + known.rev());
--- a/balancer/src/main/java/junctionhead/net/Upstreams.java
+++ b/balancer/src/main/java/junctionhead/net/Upstreams.java
@@ -84,7 +84,7 @@
         final String id;
         InetSocketAddress endpoint;
         long stopAt = Long.MAX_VALUE;               // when the grace of its drain is over
-        final ArrayDeque<Connection> idle = new ArrayDeque<>();     // the most recently used last
+        final ArrayDeque<Connection> idle = new ArrayDeque<>(0);    // the most recently used last
 
         Upstream(String id) {
             this.id = id;
