Discovery: one clock of 6 s for silence, calls and pauses, asked or pushed

Cause: each part had a bound of its own. A watch's silence took 4.8 s; a call had its time for the connection and once more for the answer (0.7 s each where lists are pushed, 2 s and 4.8 s where they are asked for); the module's pause after a failure doubled to 8 s, half as much again by chance. After a watch fell silent, with one call given up and one reset, the call that could bring what it missed came after 12.2 s where lists are asked for, and after 6.8 s with two given up where they are pushed; told is 6 s after.

Change: silence is 3 s, a call has 0.7 s for its connection and the first of its answer together, in both modes, and a pause is 0.2, 0.4, 0.8 and then 1.4 s at most (and the module's look, 0.1 s). In a row: 3 + 0.3 + 0.7 + 0.5 + 0.9 s. A call that nobody says has failed is made again after 4 to 4.5 s.

--- a/balancer/src/main/java/junctionhead/Subscription.java
+++ b/balancer/src/main/java/junctionhead/Subscription.java
@@ -2,10 +2,17 @@
 
 import java.util.SplittableRandom;
 
-/** When to ask discovery for the list (again): nobody waits for an answer that may never come. */
+/**
+ * When to ask discovery for the list (again): nobody waits for an answer that may never come. A change counts
+ * as told 6 s after discovery had it and could be reached, whatever became of calls meanwhile. So what may come
+ * one after the other is bounded by that time together: a watch that falls silent (3 s until that is seen, and
+ * 0.7 s for a call, in net/Discovery), a call that is given up, one that is refused, and the pauses after each.
+ */
 final class Subscription {
-    private static final long PAUSE_FIRST = 500_000;    // µs after a failure, as a mean; doubles
-    private static final int DOUBLINGS = 4;
+    private static final long PAUSE_FIRST = 200_000;    // µs after a failure, at most; doubles
+    private static final long PAUSE_MOST = 1_400_000;
+    private static final int DOUBLINGS = 3;
+    private static final long ANSWER_MOST = 4_000_000;  // where nobody tells that a call has failed
 
     private final long within;                          // µs in which an answer must be had
     private final SplittableRandom random;
@@ -23,8 +30,9 @@
 
     /** Discovery failed; returns how often in a row. */
     int failed(long now) {
-        long pause = Math.min(within / 2, PAUSE_FIRST << Math.min(DOUBLINGS, failures++));
-        at = Math.min(at, now + pause / 2 + random.nextLong(Math.max(1, pause)));
+        long most = Math.min(PAUSE_MOST, PAUSE_FIRST << Math.min(DOUBLINGS, failures++));
+        long pause = Math.min(within / 2, most);
+        at = Math.min(at, now + pause / 2 + random.nextLong(Math.max(1, pause / 2)));
         return failures;
     }
 
@@ -35,7 +43,8 @@
 
     /** Subscribes; asks again if nothing answers. */
     void ask(long now, Policy.Actions out) {
-        at = now + within / 2 + random.nextLong(1 + within / 8);
+        long most = Math.min(within / 2, ANSWER_MOST);
+        at = now + most + random.nextLong(1 + most / 8);
         out.watch(true);
     }
 }
--- a/balancer/src/main/java/junctionhead/net/Discovery.java
+++ b/balancer/src/main/java/junctionhead/net/Discovery.java
@@ -39,12 +39,12 @@
  */
 final class Discovery {
     private static final int LIST_MOST = 4 << 20;   // bytes
-    private static final int CONNECT_MS = 2_000;
     // A line comes every 2 s. What a watch misses that has fallen silent counts as told 6 s later: by then
-    // another one has to have brought it, however short the grace of drains is.
-    private static final long SILENCE_MS = 4_800;
-    // Where lists are pushed the agent answers at once, or is silent while discovery is down. What it gets at
-    // the return counts as told at once: calls are repeated within a part of the grace of drains.
+    // another one has to have brought it, though calls are given up or refused meanwhile, and paused after.
+    private static final long SILENCE_MS = 3_000;
+    // For a call's connection and the first of its answer together. Where lists are pushed the agent answers at
+    // once, or is silent while discovery is down. What it gets at the return counts as told at once: calls are
+    // repeated within a part of the grace of drains.
     private static final long FIRST_MOST_MS = 700;
     private static final long FIRST_LEAST_MS = 100;
     private static final int FIRST_PART = 4;
@@ -56,7 +56,7 @@
     private final BiConsumer<ListKind, Targets> news;
     private final Consumer<String> log;
     private final boolean pushed;
-    private final long firstMs;                     // for a watch's first answer, where lists are pushed
+    private final long firstMs;                     // for a call's first answer
     private long rev;
     private Call watch;
 
@@ -71,7 +71,8 @@
         this.log = log;
         this.pushed = boot.settings().discovery() == Policy.Discovery.PUSH;
         long grace = boot.settings().bounds().drainGrace() / 1000;
-        this.firstMs = Math.max(FIRST_LEAST_MS, Math.min(FIRST_MOST_MS, grace / FIRST_PART));
+        this.firstMs = !pushed ? FIRST_MOST_MS
+            : Math.max(FIRST_LEAST_MS, Math.min(FIRST_MOST_MS, grace / FIRST_PART));
     }
 
     /** Begins to watch unasked where lists are pushed. */
@@ -124,10 +125,10 @@
         }
 
         void open() {
-            awaitFirst();
+            await(firstMs);
             ChannelFuture connected = new Bootstrap().group(loop).channel(NioSocketChannel.class)
                 .option(ChannelOption.TCP_NODELAY, true)
-                .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, CONNECT_MS)
+                .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, (int) firstMs)
                 .handler(new ChannelInitializer<Channel>() {
                     @Override
                     protected void initChannel(Channel ch) {
@@ -144,17 +145,12 @@
                     ask.headers().set(HttpHeaderNames.HOST,
                         address.getAddress().getHostAddress() + ":" + address.getPort());
                     channel.writeAndFlush(ask);
-                    awaitFirst();
                 } else {
                     ended();
                 }
             });
         }
 
-        private void awaitFirst() {
-            await(pushed ? firstMs : SILENCE_MS);
-        }
-
         // Guards against a discovery that is cut off: its connection stays open and silent.
         private void await(long most) {
             if (silence != null) {
--- a/balancer/src/test/java/junctionhead/LearnedTest.java
+++ b/balancer/src/test/java/junctionhead/LearnedTest.java
@@ -189,6 +189,25 @@
         assertEquals(List.of("urgent", "patient"), harness.sends.stream().map(s -> s.request).toList());
     }
 
+    /** A change counts as told 6 s after discovery could be reached: pauses are no longer however often it failed. */
+    @Test
+    void howeverOftenDiscoveryHasFailedItIsAskedAgainInTime() {
+        Harness harness = new Harness(Harness.settings(2, true, Discovery.ASK, List.of(), SAFE), 3)
+            .list(ListKind.PERSISTED, Harness.fleet(2));
+        for (int i = 0; i < 200; i++) {
+            harness.list(ListKind.FAILED, List.of());
+            int before = harness.watches;
+            long failed = harness.now;
+            while (harness.watches == before) {
+                harness.pass(10_000);
+            }
+            assertTrue(harness.now - failed <= 1_510_000, "after " + (harness.now - failed) + " us");
+        }
+        int before = harness.watches;
+        harness.pass(4_700_000);                    // of silence: nobody tells that a call has failed
+        assertEquals(before + 1, harness.watches);
+    }
+
     @Test
     void discoveryIsAskedAgainAfterErrorsAndSilenceButNotHammered() {
         Harness harness = new Harness(Harness.settings(2, true, Discovery.ASK, List.of(), SAFE), 3)
--- a/balancer/src/test/java/junctionhead/net/DiscoveryTest.java
+++ b/balancer/src/test/java/junctionhead/net/DiscoveryTest.java
@@ -13,12 +13,14 @@
 import java.util.concurrent.BlockingQueue;
 import java.util.concurrent.LinkedBlockingQueue;
 import java.util.concurrent.TimeUnit;
+import junctionhead.Balance;
 import junctionhead.SettingsReader;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.Timeout;
 import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
 import org.junit.jupiter.params.provider.ValueSource;
 
 /** Watches that fall silent, break or are replaced, where lists are pushed. */
@@ -132,6 +134,48 @@
         assertTrue(System.nanoTime() - silent < 6_000_000_000L);
     }
 
+    /**
+     * One clock for all of it: the watch falls silent, the next call is given up, the one after that reset, and
+     * each is followed by a pause. It is the module that asks again where lists are asked for.
+     */
+    @ParameterizedTest
+    @CsvSource({"push,2", "ask,1"})
+    void whatFailsInARowAfterAWatchFellSilentIsOverBeforeWhatItMissedCountsAsTold(String mode, int givenUp)
+            throws Exception {
+        try (FakeUpstream asked = new FakeUpstream()) {
+            Map<String, Object> settings = new HashMap<>(NodeTest.settings());
+            settings.put("MembershipMode", mode);
+            settings.put("Rules", Map.of("AnswerSlack", 8_000, "DrainGrace", 2_800_000, "AskWithin", 10_000_000,
+                "ColdFrom", 0.3, "RampTime", 8_400_000, "OverloadFactor", 3.0, "Fall", 1_000_000));
+            Node node = new Node(Config.of(Map.of(), Map.of("name", "n1", "listen", "127.0.0.1:0",
+                "discovery", asked.address(), "seed", "1", "settings", settings)), Balance::new, false,
+                line -> { });
+            try {
+                node.start();
+                FakeUpstream.Got watch = asked.next();
+                watch.raw(HEAD + chunk(list(42, true, "a") + "\n"));
+                long silent = System.nanoTime();
+                FakeUpstream.Got next = asked.next();
+                while (!next.line().contains("from=42")) {
+                    watch = next;                   // the first was given up while the test was slow
+                    watch.raw(HEAD + chunk(list(42, true, "a") + "\n"));
+                    silent = System.nanoTime();
+                    next = asked.next();
+                }
+                for (int i = 0; i < givenUp; i++) {
+                    assertTrue(next.closedByPeer());
+                    next = asked.next();
+                }
+                next.reset();
+                asked.next();                       // answered at once, this one would tell it
+                long after = System.nanoTime() - silent;
+                assertTrue(after < 5_900_000_000L, after / 1_000_000 + " ms");
+            } finally {
+                node.stop();
+            }
+        }
+    }
+
     /** Half a list, and the empty lines that come while nothing changes: what follows would be lost in it. */
     @Test
     void aListThatNeverEndsIsGivenUpThoughLinesGoOn() throws Exception {
