--- a/balancer/src/main/java/junctionhead/net/ClientServer.java
+++ b/balancer/src/main/java/junctionhead/net/ClientServer.java
@@ -302,7 +302,9 @@
         }
         Client still = stillest();
         while (still != null && descriptors.crowded(open)) {
-            still.drop("no request yet, and no room");
+            if (still.standsStill()) {
+                still.drop("no request yet, and no room");
+            }
             still = stillest();
         }
         while (descriptors.full() && shedIdleUpstream.getAsBoolean()) {
@@ -380,6 +382,12 @@
             return upload == null ? presence.hasLeft() : !channel.isActive();
         }
 
+        // As of now: bytes may have come that the loop has not read, in a turn that takes long.
+        boolean standsStill() {
+            long before = movedAt;
+            return !presence.hasLeft() && movedAt == before;
+        }
+
         void opened() {
             descriptors.opened();
             open++;
--- a/balancer/src/test/java/junctionhead/net/SlowPeersTest.java
+++ b/balancer/src/test/java/junctionhead/net/SlowPeersTest.java
@@ -165,6 +165,37 @@
         }
     }
 
+    /** They have sent what they ask for; the loop, which stood still, comes to those who want their places first. */
+    @Test
+    void newcomersWhoseBytesWaitToBeReadKeepTheirPlaces() throws Exception {
+        start(40);
+        List<Client> clients = new ArrayList<>();
+        try {
+            for (int i = 0; i < 12; i++) {
+                clients.add(new Client(at));
+            }
+            while (!node.loop().submit(() -> node.clients().toString()).get().startsWith("12 clients'")) {
+                Thread.onSpinWait();
+            }
+            Stall stall = new Stall(node.loop());
+            for (int i = 0; i < 8; i++) {
+                clients.add(new Client(at));
+            }
+            for (Client client : clients.subList(0, 12)) {
+                client.send(READY);
+            }
+            TimeUnit.MILLISECONDS.sleep(80);        // for longer than a newcomer may be silent
+            stall.release();
+            for (Client client : clients.subList(0, 12)) {
+                assertEquals(200, client.status());
+            }
+        } finally {
+            for (Client client : clients) {
+                client.close();
+            }
+        }
+    }
+
     /** Its place goes to nobody who does less: neither to the silent nor to those that begin and stop. */
     @Test
     void aSlowClientKeepsItsPlaceAmongPeersThatStandStill() throws Exception {
