A client's end is looked for only where an attempt may follow

Cause: each answer that came over 20 ms after its request was read cost a read of the client's connection, though nothing was sent on then; and behind a long body that was whole but not yet handed over nothing was looked for.

Change: before a request is taken from those ahead, and for a whole body.

--- a/balancer/src/main/java/junctionhead/net/ClientServer.java
+++ b/balancer/src/main/java/junctionhead/net/ClientServer.java
@@ -379,7 +379,7 @@
 
         // While a long body comes its own way looks for the end, within the bounds of what may be held of it.
         boolean hasLeft() {
-            return upload == null ? presence.hasLeft() : !channel.isActive();
+            return upload == null || upload.isWhole() ? presence.hasLeft() : !channel.isActive();
         }
 
         // As of now: bytes may have come that the loop has not read, in a turn that takes long.
@@ -849,7 +849,7 @@
         }
 
         private void answered() {
-            if (hasLeft()) {
+            if (!channel.isActive() || !ahead.isEmpty() && hasLeft()) {
                 return;                             // its client has left, and nothing is owed any more
             }
             busy = false;
--- a/balancer/src/main/java/junctionhead/net/Relay.java
+++ b/balancer/src/main/java/junctionhead/net/Relay.java
@@ -83,6 +83,11 @@
         return sink != null;
     }
 
+    /** Whether the source has given all. */
+    boolean isWhole() {
+        return ended;
+    }
+
     /** Whether the source is kept waiting for the sink. */
     boolean holdsBack() {
         return !source.config().isAutoRead();
