--- a/balancer/src/main/java/junctionhead/net/Upstreams.java
+++ b/balancer/src/main/java/junctionhead/net/Upstreams.java
@@ -408,7 +408,7 @@
                     to.getAddress().getHostAddress() + ":" + to.getPort());
             }
             if (waitMillis > 0) {
-                message.headers().set(ClientServer.DEADLINE, Long.toString(waitMillis));
+                message.headers().set(OrderReader.DEADLINE, Long.toString(waitMillis));
             }
             if (order.length() < 0) {
                 HttpUtil.setTransferEncodingChunked(message, true);
