--- a/balancer/src/main/java/junctionhead/net/ClientServer.java
+++ b/balancer/src/main/java/junctionhead/net/ClientServer.java
@@ -21,7 +21,6 @@
 import io.netty.handler.codec.DecoderResult;
 import io.netty.handler.codec.http.DefaultFullHttpRequest;
 import io.netty.handler.codec.http.DefaultFullHttpResponse;
-import io.netty.handler.codec.http.DefaultHttpHeaders;
 import io.netty.handler.codec.http.DefaultHttpResponse;
 import io.netty.handler.codec.http.EmptyHttpHeaders;
 import io.netty.handler.codec.http.FullHttpRequest;
@@ -29,7 +28,6 @@
 import io.netty.handler.codec.http.HttpContent;
 import io.netty.handler.codec.http.HttpHeaderNames;
 import io.netty.handler.codec.http.HttpHeaderValues;
-import io.netty.handler.codec.http.HttpHeaders;
 import io.netty.handler.codec.http.HttpMethod;
 import io.netty.handler.codec.http.HttpObject;
 import io.netty.handler.codec.http.HttpRequest;
@@ -48,14 +46,12 @@
 import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Locale;
-import java.util.Map;
 import java.util.Set;
 import java.util.concurrent.Future;
 import java.util.concurrent.TimeUnit;
 import java.util.function.BooleanSupplier;
 import java.util.function.Consumer;
 import java.util.stream.Stream;
-import junctionhead.Policy;
 import junctionhead.SettingsReader;
 
 /** The HTTP side to the clients: takes requests, turns bad ones away, and writes each one's final answer. */
@@ -83,12 +79,9 @@
     private static final long GREETING_NS = 50_000_000;
     private static final long PAUSE_NS = 300_000_000;
     private static final long AGAIN_MS = 50;        // between looks for room, while new ones wait
-    private static final Set<String> HOP_BY_HOP = Set.of("connection", "keep-alive", "proxy-connection",
-        "proxy-authenticate", "proxy-authorization", "te", "trailer", "transfer-encoding", "upgrade",
-        "expect", "content-length", DEADLINE.toLowerCase(Locale.ROOT));
 
     private final EventLoop loop;
-    private final SettingsReader.Boot boot;
+    private final OrderReader orders;
     private final Dispatcher dispatcher;
     private final Descriptors descriptors;
     private final BooleanSupplier shedIdleUpstream;
@@ -113,7 +106,7 @@
     ClientServer(EventLoop loop, SettingsReader.Boot boot, Dispatcher dispatcher, Descriptors descriptors,
             BooleanSupplier shedIdleUpstream, Events events, Relay.Budget budget) {
         this.loop = loop;
-        this.boot = boot;
+        this.orders = new OrderReader(boot);
         this.dispatcher = dispatcher;
         this.descriptors = descriptors;
         this.shedIdleUpstream = shedIdleUpstream;
@@ -688,7 +681,7 @@
         private void take(HttpRequest request, byte[] body, Relay by, long length, boolean keep) {
             Order order;
             try {
-                order = order(request, body, by, length);
+                order = orders.order(request, body, by, length);
             } catch (IllegalArgumentException e) {
                 reject(request, e.getMessage());
                 plain(HttpResponseStatus.BAD_REQUEST, e.getMessage(), false);
@@ -964,50 +957,4 @@
             client.plain(HttpResponseStatus.BAD_GATEWAY, "failed", keep);
         }
     }
-
-    // ---------------------------------------------------------------- reading a request
-
-    private Order order(HttpRequest request, byte[] body, Relay upload, long length) {
-        HttpHeaders headers = request.headers();
-        if (headers.get("Req-Id", "").isEmpty()) {
-            throw new IllegalArgumentException("no Req-Id");
-        }
-        int number = boot.classes().indexOf(Config.plain(headers.get("Req-Kind", "")));
-        if (number < 0) {
-            throw new IllegalArgumentException("unknown Req-Kind");
-        }
-        Policy.Effect effect = boot.settings().classes().get(number).effect();
-        HttpMethod method = effect == Policy.Effect.SAFE ? HttpMethod.GET : HttpMethod.POST;
-        boolean keyed = headers.contains("Idempotency-Key");
-        if (!request.method().equals(method) || keyed != (effect == Policy.Effect.KEYED)) {
-            throw new IllegalArgumentException("method or Idempotency-Key contradicts the Req-Kind");
-        }
-        long left = number(headers.get(DEADLINE), -1);
-        if (left <= 0) {
-            throw new IllegalArgumentException("no or bad " + DEADLINE);
-        }
-        String path = request.uri().split("[?#]", 2)[0];
-        String key = path.substring(path.lastIndexOf('/') + 1);
-        int tenant = Math.max(0, boot.tenants().indexOf(Config.plain(headers.get("Req-Owner", ""))));
-        return new Order(request.method(), request.uri(), endToEnd(headers), body, number, tenant,
-            key.isEmpty() ? null : key, left * 1000, number(headers.get("Req-Cost"), -1),
-            "1".equals(headers.get("Req-Retry")), upload, length);
-    }
-
-    private static long number(String text, long otherwise) {
-        return text != null && text.strip().matches("\\d{1,12}") ? Long.parseLong(text.strip()) : otherwise;
-    }
-
-    private static HttpHeaders endToEnd(HttpHeaders headers) {
-        HttpHeaders kept = new DefaultHttpHeaders();
-        Set<String> named = Set.copyOf(headers.getAll(HttpHeaderNames.CONNECTION).stream()
-            .flatMap(v -> Stream.of(v.toLowerCase(Locale.ROOT).split("\\s*,\\s*"))).distinct().toList());
-        for (Map.Entry<String, String> header : headers) {
-            String name = header.getKey().toLowerCase(Locale.ROOT);
-            if (!HOP_BY_HOP.contains(name) && !named.contains(name)) {
-                kept.add(header.getKey(), header.getValue());
-            }
-        }
-        return kept;
-    }
 }
--- a/balancer/src/main/java/junctionhead/net/Discovery.java
+++ b/balancer/src/main/java/junctionhead/net/Discovery.java
@@ -42,9 +42,9 @@
     // A line comes every 2 s. What a watch misses that has fallen silent counts as told 6 s later: by then
     // another one has to have brought it, though calls are given up or refused meanwhile, and paused after.
     private static final long SILENCE_MS = 3_000;
-    // For a call's connection and the first of its answer together. Where lists are pushed the agent answers at
-    // once, or is silent while discovery is down. What it gets at the return counts as told at once: calls are
-    // repeated within a part of the grace of drains.
+    // For a call's connection and the first of its answer together. Where lists are pushed the agent answers
+    // at once, or is silent while discovery is down. What it gets at the return counts as told at once: calls
+    // are repeated within a part of the grace of drains.
     private static final long FIRST_MOST_MS = 700;
     private static final long FIRST_LEAST_MS = 100;
     private static final int FIRST_PART = 4;
--- a/balancer/src/main/java/junctionhead/net/Dispatcher.java
+++ b/balancer/src/main/java/junctionhead/net/Dispatcher.java
@@ -245,7 +245,8 @@
         }
     }
 
-    // What binds is the instant in which an attempt begins, not that in which the loop reads the client's end.
+    // What binds is the instant in which an attempt begins, not that in which the loop reads its client's
+    // end.
     private void leaveIfGone(Exchange x) {
         if (!x.closed && !x.reply.isAwaited()) {
             gone(x);
--- a/balancer/src/test/java/junctionhead/LearnedTest.java
+++ b/balancer/src/test/java/junctionhead/LearnedTest.java
@@ -189,7 +189,7 @@
         assertEquals(List.of("urgent", "patient"), harness.sends.stream().map(s -> s.request).toList());
     }
 
-    /** A change counts as told 6 s after discovery could be reached: pauses are no longer however often it failed. */
+    /** A change counts as told 6 s after discovery could be reached, however often calls had failed. */
     @Test
     void howeverOftenDiscoveryHasFailedItIsAskedAgainInTime() {
         Harness harness = new Harness(Harness.settings(2, true, Discovery.ASK, List.of(), SAFE), 3)
--- a/balancer/src/test/java/junctionhead/net/DiscoveryTest.java
+++ b/balancer/src/test/java/junctionhead/net/DiscoveryTest.java
@@ -135,8 +135,8 @@
     }
 
     /**
-     * One clock for all of it: the watch falls silent, the next call is given up, the one after that reset, and
-     * each is followed by a pause. It is the module that asks again where lists are asked for.
+     * One clock for all of it: the watch falls silent, the next call is given up, the one after that reset,
+     * and each is followed by a pause. It is the module that asks again where lists are asked for.
      */
     @ParameterizedTest
     @CsvSource({"push,2", "ask,1"})
@@ -145,8 +145,9 @@
         try (FakeUpstream asked = new FakeUpstream()) {
             Map<String, Object> settings = new HashMap<>(NodeTest.settings());
             settings.put("MembershipMode", mode);
-            settings.put("Rules", Map.of("AnswerSlack", 8_000, "DrainGrace", 2_800_000, "AskWithin", 10_000_000,
-                "ColdFrom", 0.3, "RampTime", 8_400_000, "OverloadFactor", 3.0, "Fall", 1_000_000));
+            settings.put("Rules", Map.of("AnswerSlack", 8_000, "DrainGrace", 2_800_000,
+                "AskWithin", 10_000_000, "ColdFrom", 0.3, "RampTime", 8_400_000, "OverloadFactor", 3.0,
+                "Fall", 1_000_000));
             Node node = new Node(Config.of(Map.of(), Map.of("name", "n1", "listen", "127.0.0.1:0",
                 "discovery", asked.address(), "seed", "1", "settings", settings)), Balance::new, false,
                 line -> { });
--- a/balancer/src/test/java/junctionhead/net/LeavingTest.java
+++ b/balancer/src/test/java/junctionhead/net/LeavingTest.java
@@ -9,7 +9,6 @@
 import java.io.OutputStream;
 import java.net.Socket;
 import java.net.SocketException;
-import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
 import java.util.List;
 import junctionhead.net.NodeTest.Client;
--- a/balancer/src/test/java/junctionhead/net/RealProcessTest.java
+++ b/balancer/src/test/java/junctionhead/net/RealProcessTest.java
@@ -125,8 +125,8 @@
     }
 
     /**
-     * Idle clients, each of which has asked something and stays, while discovery accepts and is silent. What is
-     * under way goes on, so do datagrams, and the watch has its connection when discovery is back.
+     * Idle clients, each of which has asked something and stays, while discovery accepts and is silent. What
+     * is under way goes on, so do datagrams, and the watch has its connection when discovery is back.
      */
     @Test
     void idleClientsThatFillTheDescriptorsWhileDiscoveryIsDownStopNothing() throws Exception {
@@ -140,7 +140,8 @@
             awaitReady(at);
             Map<String, Client> working = new HashMap<>();
             for (int i = 0; i < 60; i++) {          // each with a connection to the upstream
-                working.put("w" + i, new Client(at).send(NodeTest.SAFE.replace("Req-Id: r1", "Req-Id: w" + i)));
+                String request = NodeTest.SAFE.replace("Req-Id: r1", "Req-Id: w" + i);
+                working.put("w" + i, new Client(at).send(request));
             }
             idle.addAll(working.values());
             TimeUnit.SECONDS.sleep(2);
--- a/balancer/src/test/java/junctionhead/net/SlowPeersTest.java
+++ b/balancer/src/test/java/junctionhead/net/SlowPeersTest.java
@@ -165,7 +165,7 @@
         }
     }
 
-    /** They have sent what they ask for; the loop, which stood still, comes to those who want their places first. */
+    /** They have asked; the loop, which stood still, comes first to those who want their places. */
     @Test
     void newcomersWhoseBytesWaitToBeReadKeepTheirPlaces() throws Exception {
         start(40);
