--- a/lab/src/main/java/junctionhead/lab/plan/Plan.java
+++ b/lab/src/main/java/junctionhead/lab/plan/Plan.java
@@ -105,7 +105,7 @@
         }
     }
 
-    // Drawn again where another has it, as one of forty plans of 14,000 servers would have two alike.
+    // Drawn again where another has it, as one of some 75 plans of 14,000 servers has two alike.
     private String uid(UniformRandomProvider random) {
         String uid;
         do {
