--- a/balancer/src/main/java/junctionhead/aggregation/BlockSums.java
+++ b/balancer/src/main/java/junctionhead/aggregation/BlockSums.java
@@ -5,12 +5,13 @@
 import java.util.stream.IntStream;
 
 /**
- * Sums over a fleet of balancers at a cost that grows with its logarithm only: recursive doubling over blocks
- * (Hillis and Steele's scan, as all-reduce does it), both ways round a ring, with each block's record told on
- * as it is in place of partial sums, so that what comes twice, late or round about can't count twice. Each
- * balancer hears its block's others itself, and knows their sum; in step k of a round it tells the blocks 2^k
- * further and 2^k back what it knows of the 2^k blocks that end with its own. After log2(blocks) steps each
- * has a record of every block.
+ * Sums over a fleet of balancers at a small cost, in datagrams that grow with its logarithm and bytes that
+ * grow by 0.6 a second for each balancer (a record of 5 bytes for a block of 16, both ways round): recursive
+ * doubling over blocks (Hillis and Steele's scan, as all-reduce does it), both ways round a ring, with each
+ * block's record told on as it is in place of partial sums, so that what comes twice, late or round about
+ * can't count twice. Each balancer hears its block's others itself, and knows their sum; in step k of a round
+ * it tells the blocks 2^k further and 2^k back what it knows of the 2^k blocks that end with its own. After
+ * log2(blocks) steps each has a record of every block.
  *
  * <p>A pure state machine: time and datagrams in, datagrams out; not for several threads. A record says how
  * old it is, less its time on the way; the youngest counts, none counts past {@link #FORGET}. The ring is
