Discovery: a call's answer has its time from the connection on, as before

Cause: connection and first answer shared one time, 0.15 s with short graces; processes that have just started gave up calls that were under way, and drains were heard late. DiscoveryTest passes (13), both modes of its one clock of 6 s among them.

--- a/balancer/src/main/java/junctionhead/net/Discovery.java
+++ b/balancer/src/main/java/junctionhead/net/Discovery.java
@@ -144,6 +144,7 @@
                     ask.headers().set(HttpHeaderNames.HOST,
                         address.getAddress().getHostAddress() + ":" + address.getPort());
                     channel.writeAndFlush(ask);
+                    await(firstMs);                     // the connection's time was its own
                 } else {
                     ended();
                 }
