Eviction at the connection limit ends even if close listeners are deferred

Cause: evictions relied on the close listener to unregister a connection. The listener calls enforceLimit, so evictions nest; from a depth of 8 on Netty defers listeners. A connection that confirmStalled's read finds closed then stays registered, and evictStalled finds it again for ever.

Evidence: 14 stacks of the hanging loop with eight nested onClosed; a trial that logs a repeated connection: active=false registered=true listenerDepth=8 after 100,000 turns. It was neither active nor unregistered, which excludes progress in between and a second entry.

The same cause evicted too much: with ten evictions due all twenty connections were closed, idle clients too, and idle upstream connections.

Fix: a connection is unregistered where it is closed, on the upstream side as well; enforceLimit does not nest; evictStalled visits each connection once, which bounds it by the number of unproven connections.

Five new tests failed before: isActive() called 10009 times (the loop); 0 connections left open instead of 10, 10 and 13; 2 upstream connections counted instead of 1.

--- a/balancer/src/main/java/loadbalancer/http/ClientConnection.java
+++ b/balancer/src/main/java/loadbalancer/http/ClientConnection.java
@@ -372,7 +372,7 @@
         if (receiving && !isRequestInProgress()) {
             sendText(HttpResponseStatus.REQUEST_TIMEOUT, "no whole request in time", false);
         } else {
-            channel.close();
+            closeAtOnce();
         }
     }
 
@@ -396,8 +396,13 @@
         }
     }
 
+    /**
+     * Closes the connection and unregisters it, so that the caller can count the open connections
+     * right after. The close listener may run later: Netty defers listeners that are deeply nested.
+     */
     void closeAtOnce() {
         channel.close();
+        context.connections().remove(this);
     }
 
     @Override
--- a/balancer/src/main/java/loadbalancer/http/ClientConnections.java
+++ b/balancer/src/main/java/loadbalancer/http/ClientConnections.java
@@ -1,6 +1,7 @@
 package loadbalancer.http;
 
 import io.netty.channel.EventLoop;
+import java.util.HashSet;
 import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Set;
@@ -29,13 +30,16 @@
     private final ClientListener listener;
     private final FileDescriptorBudget descriptorBudget;
     private final BooleanSupplier closeLongestIdleUpstream;
+    private final Set<ClientConnection> open = new HashSet<>();
     // Ordered by idle time, the longest first.
     private final Set<ClientConnection> idle = new LinkedHashSet<>();
-    // Ordered by the time without progress, the longest first.
+    // Ordered by the time without progress, the longest first: slow connections that make progress
+    // are behind those that make none.
     private final Set<ClientConnection> unproven = new LinkedHashSet<>();
     private final Set<ClientConnection> halfClosed = new LinkedHashSet<>();
-    private int openCount;
     private long acceptedCount;
+    // Whether enforceLimit is on the call stack.
+    private boolean enforcingLimit;
     // Null unless the connection limit is reached and connections wait in the backlog.
     private Future<?> acceptRetry;
     // Null before a shutdown and after the callback has run.
@@ -76,14 +80,16 @@
      */
     void add(ClientConnection connection) {
         descriptorBudget.socketOpened();
-        openCount++;
+        open.add(connection);
         unproven.add(connection);
     }
 
-    /** Unregisters a closed connection. The caller calls {@link #afterRemoval} next. */
+    /** Unregisters a closed connection; does nothing if that has been done before. */
     void remove(ClientConnection connection) {
+        if (!open.remove(connection)) {
+            return;
+        }
         descriptorBudget.socketClosed();
-        openCount--;
         idle.remove(connection);
         unproven.remove(connection);
         halfClosed.remove(connection);
@@ -152,7 +158,7 @@
     }
 
     private void notifyIfEmpty() {
-        if (openCount == 0 && onEmpty != null) {
+        if (open.isEmpty() && onEmpty != null) {
             loop.execute(onEmpty);
             onEmpty = null;
         }
@@ -170,8 +176,24 @@
      * connections to upstreams. Evicts in this order: half closed connections, unproven connections
      * without progress, idle connections to upstreams, and idle client connections, whose clients
      * have to connect again. If that is not enough, new connections wait in the backlog.
+     *
+     * <p>A call during an eviction does nothing: closing a connection runs its close listener,
+     * which calls this method again, and the eviction checks the limit after each close anyway.
      */
     void enforceLimit() {
+        if (enforcingLimit) {
+            return;
+        }
+        enforcingLimit = true;
+        try {
+            evictConnections();
+        } finally {
+            enforcingLimit = false;
+        }
+        acceptIfBelowLimit();
+    }
+
+    private void evictConnections() {
         evictHalfClosed();
         evictStalled();
         while (descriptorBudget.isExhausted()) {
@@ -180,6 +202,9 @@
             }
         }
         evictIdle();
+    }
+
+    private void acceptIfBelowLimit() {
         boolean hasCapacity = !isLimitReached();
         listener.setHasCapacity(hasCapacity);
         if (!hasCapacity && acceptRetry == null) {
@@ -198,7 +223,7 @@
     }
 
     private boolean isLimitReached() {
-        return descriptorBudget.isClientLimitReached(openCount);
+        return descriptorBudget.isClientLimitReached(open.size());
     }
 
     private void evictHalfClosed() {
@@ -209,13 +234,29 @@
         }
     }
 
+    // Visits each connection once, so that it ends even if a connection that should be closed
+    // remains registered.
     private void evictStalled() {
-        ClientConnection stalledConnection = findStalled();
-        while (stalledConnection != null && isLimitReached()) {
-            if (stalledConnection.confirmStalled()) {
-                stalledConnection.drop("no request yet, evicted at the limit");
+        if (!isLimitReached()) {
+            return;
+        }
+        long nowNanos = System.nanoTime();
+        for (ClientConnection connection : List.copyOf(unproven)) {
+            if (!isLimitReached()) {
+                return;
+            }
+            if (isStalled(connection, nowNanos)) {
+                evictIfStillStalled(connection);
             }
-            stalledConnection = findStalled();
+        }
+    }
+
+    private void evictIfStillStalled(ClientConnection connection) {
+        if (connection.confirmStalled()) {
+            connection.drop("no request yet, evicted at the limit");
+        } else if (!connection.isActive()) {
+            // The client had closed the connection, which the check has read.
+            remove(connection);
         }
     }
 
@@ -225,17 +266,10 @@
         }
     }
 
-    // Returns null if there is none. The set's order puts slow connections that make progress
-    // behind those that make none.
-    private ClientConnection findStalled() {
-        long nowNanos = System.nanoTime();
-        for (ClientConnection connection : unproven) {
-            if (!connection.isRequestInProgress()
-                    && nowNanos - connection.lastProgressNanos() >= stallTimeoutNanos(connection)) {
-                return connection;
-            }
-        }
-        return null;
+    private boolean isStalled(ClientConnection connection, long nowNanos) {
+        return unproven.contains(connection)
+                && !connection.isRequestInProgress()
+                && nowNanos - connection.lastProgressNanos() >= stallTimeoutNanos(connection);
     }
 
     private static long stallTimeoutNanos(ClientConnection connection) {
@@ -258,7 +292,7 @@
 
     @Override
     public String toString() {
-        return openCount
+        return open.size()
                 + " client connections ("
                 + unproven.size()
                 + " unproven, "
--- a/balancer/src/main/java/loadbalancer/upstream/UpstreamConnection.java
+++ b/balancer/src/main/java/loadbalancer/upstream/UpstreamConnection.java
@@ -32,6 +32,8 @@
     private long idleSinceMicros;
     // True after a fault. Further input is ignored.
     private boolean broken;
+    // Whether the connection counts as open in the pool.
+    private boolean countedAsOpen = true;
 
     UpstreamConnection(PoolContext pool, EndpointPool endpoint) {
         this.pool = pool;
@@ -239,8 +241,20 @@
         return broken;
     }
 
+    /**
+     * Closes the connection. Its descriptor counts as free right after: the close listener may run
+     * later, because Netty defers listeners that are deeply nested.
+     */
     void close() {
         channel.close();
+        countAsClosed();
+    }
+
+    private void countAsClosed() {
+        if (countedAsOpen) {
+            countedAsOpen = false;
+            pool.onConnectionClosed();
+        }
     }
 
     /** Closes the connection after a fault, so that the end of the input completes no response. */
@@ -282,7 +296,7 @@
     // A request whose write has started is failed by ResponseReader, after the remaining input has
     // been decoded.
     private void onClosed() {
-        pool.onConnectionClosed();
+        countAsClosed();
         endpoint.removeIdle(this);
         if (writeProgress == WriteProgress.NOT_STARTED) {
             completeWithoutResponse(AttemptOutcome.CONNECT_FAILED);
--- a/balancer/src/test/java/loadbalancer/http/ClientConnectionsTest.java
+++ b/balancer/src/test/java/loadbalancer/http/ClientConnectionsTest.java
@@ -8,6 +8,10 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.concurrent.atomic.AtomicInteger;
+import java.util.function.Supplier;
+import java.util.stream.Stream;
+import loadbalancer.DeferredTasksChannel;
+import loadbalancer.NestedListeners;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.Test;
 
@@ -19,6 +23,10 @@
     private static final int DESCRIPTOR_LIMIT = 60;
     private static final int MAX_CLIENTS = 20;
     private static final long ACCEPT_RETRY_INTERVAL_MS = 50;
+    private static final long FIRST_BYTE_TIMEOUT_MS = 50;
+    // With this number of upstream connections, clients may have only MIN_CLIENTS connections.
+    private static final int MANY_UPSTREAMS = 12;
+    private static final int MIN_CLIENTS = 10;
 
     private final EmbeddedFrontend frontend = new EmbeddedFrontend(DESCRIPTOR_LIMIT);
     private final ClientConnections connections = frontend.connections();
@@ -29,26 +37,32 @@
     }
 
     /** Connects a client that sends nothing. */
-    private EmbeddedChannel connect() {
-        EmbeddedChannel channel = new EmbeddedChannel();
+    private DeferredTasksChannel connect() {
+        DeferredTasksChannel channel = new DeferredTasksChannel();
         frontend.connect(channel);
         return channel;
     }
 
-    private EmbeddedChannel connectAndSend(String text) {
-        EmbeddedChannel channel = connect();
+    private UnreadInputChannel connectSilent() {
+        UnreadInputChannel channel = new UnreadInputChannel();
+        frontend.connect(channel);
+        return channel;
+    }
+
+    private DeferredTasksChannel connectAndSend(String text) {
+        DeferredTasksChannel channel = connect();
         frontend.receive(channel, text);
         return channel;
     }
 
     /** Connects a client whose valid request is being processed, so that it is never evicted. */
-    private EmbeddedChannel connectBusy() {
+    private DeferredTasksChannel connectBusy() {
         return connectAndSend(EmbeddedFrontend.getRequest("busy"));
     }
 
     /** Connects a client that is idle after {@code requestCount} valid requests. */
-    private EmbeddedChannel connectIdle(int requestCount) {
-        EmbeddedChannel channel = connect();
+    private DeferredTasksChannel connectIdle(int requestCount) {
+        DeferredTasksChannel channel = connect();
         for (int i = 0; i < requestCount; i++) {
             frontend.receive(channel, EmbeddedFrontend.getRequest("idle"));
             frontend.rejectLastRequest();
@@ -57,17 +71,31 @@
     }
 
     /** Connects a client that has sent only a readiness check: answered, but unproven. */
-    private EmbeddedChannel connectReadinessCheck() {
+    private DeferredTasksChannel connectReadinessCheck() {
         return connectAndSend("GET /-/ready HTTP/1.1\r\n\r\n");
     }
 
-    private EmbeddedChannel connectHalfClosed() {
+    private DuplexEmbeddedChannel connectHalfClosed() {
         DuplexEmbeddedChannel channel = new DuplexEmbeddedChannel();
         frontend.connect(channel).closeForDrain();
         assertTrue(channel.isOpen());
         return channel;
     }
 
+    /** Connects clients up to the limit, as on sockets: their tasks run later. */
+    private <T extends DeferredTasksChannel> List<T> connectUpToLimit(Supplier<T> newClient) {
+        List<T> clients = Stream.generate(newClient).limit(MAX_CLIENTS).toList();
+        clients.forEach(DeferredTasksChannel::deferTasks);
+        return clients;
+    }
+
+    private static void assertOpen(
+            int expectedCount, List<? extends DeferredTasksChannel> channels) {
+        assertEquals(expectedCount, channels.stream().filter(EmbeddedChannel::isOpen).count());
+        channels.forEach(DeferredTasksChannel::resumeTasks);
+        assertEquals(expectedCount, channels.stream().filter(EmbeddedChannel::isOpen).count());
+    }
+
     private void connectBusyUntil(int clientCount, int connectedClients) {
         for (int i = connectedClients; i < clientCount; i++) {
             connectBusy();
@@ -218,4 +246,44 @@
         assertEquals(2, connections.nextConnectionNumber());
         assertEquals(2, connections.acceptedCount());
     }
+
+    /**
+     * A closed connection that stays registered must not be evicted again and again: Netty defers
+     * the close listeners of connections that are closed within each other's listeners.
+     */
+    @Test
+    void evictionEndsIfManyClientsHadClosedTheirConnections() throws InterruptedException {
+        List<UnreadInputChannel> peers = connectUpToLimit(this::connectSilent);
+        peers.forEach(UnreadInputChannel::addClose);
+        Thread.sleep(FIRST_BYTE_TIMEOUT_MS + 10);
+        frontend.openIdleUpstreams(MANY_UPSTREAMS);
+        connections.enforceLimit();
+        assertOpen(MIN_CLIENTS, peers);
+    }
+
+    /** A connection whose close listener is deferred must not count as open after its eviction. */
+    @Test
+    void noMoreUnprovenConnectionsAreEvictedThanNecessary() {
+        List<DeferredTasksChannel> clients = connectUpToLimit(this::connectReadinessCheck);
+        frontend.openIdleUpstreams(MANY_UPSTREAMS);
+        connections.enforceLimit();
+        assertOpen(MIN_CLIENTS, clients);
+    }
+
+    @Test
+    void noMoreHalfClosedConnectionsAreEvictedThanNecessary() {
+        List<DuplexEmbeddedChannel> clients = connectUpToLimit(this::connectHalfClosed);
+        frontend.openIdleUpstreams(MANY_UPSTREAMS);
+        connections.enforceLimit();
+        assertOpen(MIN_CLIENTS, clients);
+    }
+
+    @Test
+    void noMoreIdleConnectionsAreEvictedThanNecessary() {
+        List<DeferredTasksChannel> clients = connectUpToLimit(() -> connectIdle(1));
+        // One fewer than would exhaust the descriptors, so that no upstream connection is closed.
+        frontend.openIdleUpstreams(9);
+        NestedListeners.runAtMaxDepth(connections::enforceLimit);
+        assertOpen(13, clients);
+    }
 }
--- a/balancer/src/test/java/loadbalancer/http/ClientLivenessTest.java
+++ b/balancer/src/test/java/loadbalancer/http/ClientLivenessTest.java
@@ -6,13 +6,7 @@
 
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInboundHandlerAdapter;
-import io.netty.channel.embedded.EmbeddedChannel;
-import io.netty.channel.nio.AbstractNioChannel;
-import java.lang.reflect.InvocationTargetException;
-import java.lang.reflect.Proxy;
-import java.util.ArrayDeque;
 import java.util.ArrayList;
-import java.util.Deque;
 import java.util.List;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.Test;
@@ -26,58 +20,6 @@
     private final List<Object> handled = new ArrayList<>();
     private Runnable onMessage = () -> {};
 
-    /** A channel whose receive buffer is filled by the test; each read call takes one batch. */
-    private static final class UnreadInputChannel extends EmbeddedChannel {
-        private final Deque<Runnable> unreadBatches = new ArrayDeque<>();
-        private int readCalls;
-
-        @Override
-        public Unsafe unsafe() {
-            Unsafe embedded = super.unsafe();
-            return (Unsafe)
-                    Proxy.newProxyInstance(
-                            getClass().getClassLoader(),
-                            new Class<?>[] {AbstractNioChannel.NioUnsafe.class},
-                            (proxy, method, arguments) -> {
-                                if (method.getName().equals("read")) {
-                                    readBatch();
-                                    return null;
-                                }
-                                try {
-                                    return method.invoke(embedded, arguments);
-                                } catch (InvocationTargetException e) {
-                                    throw e.getCause();
-                                }
-                            });
-        }
-
-        private void readBatch() {
-            readCalls++;
-            Runnable batch = unreadBatches.poll();
-            if (batch != null) {
-                batch.run();
-            } else {
-                pipeline().fireChannelReadComplete();
-            }
-        }
-
-        /** Adds a batch of {@code messageCount} messages. */
-        void addBatch(int messageCount) {
-            unreadBatches.add(
-                    () -> {
-                        for (int i = 0; i < messageCount; i++) {
-                            pipeline().fireChannelRead("message");
-                        }
-                        pipeline().fireChannelReadComplete();
-                    });
-        }
-
-        /** Adds a batch in which the client's close is read. */
-        void addClose() {
-            unreadBatches.add(() -> super.unsafe().close(newPromise()));
-        }
-    }
-
     private void open() {
         channel.pipeline()
                 .addLast(
@@ -125,7 +67,7 @@
         channel.addBatch(MAX_READS_PER_LOOP - 1);
         channel.addClose();
         assertFalse(liveness.isDisconnected());
-        assertEquals(2, channel.readCalls);
+        assertEquals(2, channel.readCalls());
     }
 
     @Test
@@ -135,7 +77,7 @@
             channel.addBatch(MAX_READS_PER_LOOP);
         }
         assertFalse(liveness.isDisconnected());
-        assertEquals(4, channel.readCalls);
+        assertEquals(4, channel.readCalls());
     }
 
     /** A message handler may call isDisconnected, which must not start a nested read. */
@@ -146,7 +88,7 @@
         channel.addBatch(1);
         onMessage = () -> assertFalse(liveness.isDisconnected());
         liveness.isDisconnected();
-        assertEquals(1, channel.readCalls);
+        assertEquals(1, channel.readCalls());
     }
 
     @Test
@@ -154,6 +96,6 @@
         open();
         channel.close();
         assertTrue(liveness.isDisconnected());
-        assertEquals(0, channel.readCalls);
+        assertEquals(0, channel.readCalls());
     }
 }
--- a/balancer/src/test/java/loadbalancer/http/DuplexEmbeddedChannel.java
+++ b/balancer/src/test/java/loadbalancer/http/DuplexEmbeddedChannel.java
@@ -2,11 +2,11 @@
 
 import io.netty.channel.ChannelFuture;
 import io.netty.channel.ChannelPromise;
-import io.netty.channel.embedded.EmbeddedChannel;
 import io.netty.channel.socket.DuplexChannel;
+import loadbalancer.DeferredTasksChannel;
 
 /** An embedded channel whose output can be shut down separately, like that of a socket. */
-final class DuplexEmbeddedChannel extends EmbeddedChannel implements DuplexChannel {
+final class DuplexEmbeddedChannel extends DeferredTasksChannel implements DuplexChannel {
     private boolean outputShutdown;
 
     @Override
--- a/balancer/src/test/java/loadbalancer/upstream/EmbeddedUpstream.java
+++ b/balancer/src/test/java/loadbalancer/upstream/EmbeddedUpstream.java
@@ -11,6 +11,7 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.concurrent.TimeUnit;
+import loadbalancer.DeferredTasksChannel;
 import loadbalancer.admin.EventLog;
 import loadbalancer.admin.Metrics;
 import loadbalancer.proxy.BodyRelay;
@@ -119,7 +120,7 @@
         UpstreamConnection connection = new UpstreamConnection(context, owner);
         ResponseReader responseReader = new ResponseReader(context, connection);
         EmbeddedChannel channel =
-                new EmbeddedChannel(
+                new DeferredTasksChannel(
                         connection,
                         responseReader.decoder(),
                         new HttpRequestEncoder(),
@@ -133,8 +134,8 @@
         return connection;
     }
 
-    static EmbeddedChannel channel(UpstreamConnection connection) {
-        return (EmbeddedChannel) connection.channel();
+    static DeferredTasksChannel channel(UpstreamConnection connection) {
+        return (DeferredTasksChannel) connection.channel();
     }
 
     /** Returns what has been written to the endpoint since the last call. */
--- a/balancer/src/test/java/loadbalancer/upstream/UpstreamConnectionTest.java
+++ b/balancer/src/test/java/loadbalancer/upstream/UpstreamConnectionTest.java
@@ -8,6 +8,7 @@
 import io.netty.channel.embedded.EmbeddedChannel;
 import java.util.ArrayList;
 import java.util.List;
+import loadbalancer.NestedListeners;
 import loadbalancer.proxy.BodyRelay;
 import loadbalancer.proxy.ProxyRequestFixtures;
 import org.junit.jupiter.api.AfterEach;
@@ -151,4 +152,19 @@
         connection.close();
         assertEquals(0, upstream.context().openConnections());
     }
+
+    /** The pool closes idle connections until enough descriptors are free. */
+    @Test
+    void closedConnectionDoesNotCountAsOpenWhileItsCloseListenerIsDeferred() {
+        UpstreamConnection connection = upstream.connectIdle(upstream.endpoint());
+        upstream.connectIdle(upstream.endpoint());
+        EmbeddedUpstream.channel(connection).deferTasks();
+        NestedListeners.runAtMaxDepth(
+                () -> {
+                    connection.close();
+                    assertEquals(1, upstream.context().openConnections());
+                });
+        EmbeddedUpstream.channel(connection).resumeTasks();
+        assertEquals(1, upstream.context().openConnections());
+    }
 }
