Buffered requests of all clients share one limit on their memory

Cause: up to 16 requests wait on a connection, each with up to 64 KiB in the heap; the limit counted requests of one connection, and none counted the bytes of all. 224 clients could queue 235 MB in a heap of 40 MB.

The queue is the cause of this crash; bodies received in part and kept until the final response had no common limit either.

Fix: RequestMemoryBudget counts each buffered request in bytes from its head to its final response. All together may use 60% of the heap, those pipelined behind another 10%. What does not fit is answered with 503, after the responses to the client's earlier requests, and the connection closed. Bodies of up to 4 KiB need no budget unless they are pipelined, so that short requests are served while others use it up. 341 bodies of 64 KiB, a third of 1,024 descriptors, fit.

BalancerProcessTest.clientsThatSendMuchAtOnceDoNotEndTheProcess failed before: "the process has ended". RequestMemoryBudgetTest holds the limits, what a client gets, and that every end of a request releases its memory.

--- a/balancer/src/main/java/loadbalancer/http/ClientConnection.java
+++ b/balancer/src/main/java/loadbalancer/http/ClientConnection.java
@@ -1,7 +1,6 @@
 package loadbalancer.http;
 
 import io.netty.channel.Channel;
-import io.netty.handler.codec.http.FullHttpRequest;
 import io.netty.handler.codec.http.FullHttpResponse;
 import io.netty.handler.codec.http.HttpRequest;
 import io.netty.handler.codec.http.HttpResponse;
@@ -42,7 +41,7 @@
     private final StrictFraming.RequestDecoder decoder = new StrictFraming.RequestDecoder();
     private final RequestReader reader;
     private final ResponseWriter responseWriter;
-    private final ArrayDeque<FullHttpRequest> pipelinedRequests = new ArrayDeque<>();
+    private final ArrayDeque<BufferedRequest> pipelinedRequests = new ArrayDeque<>();
     private final long connectionNumber;
     private RequestPhase phase = RequestPhase.NONE;
     // Whether a part of the next request has been received.
@@ -51,6 +50,10 @@
     private boolean closing;
     // Null unless the dispatcher still has to provide a final response.
     private RequestHandle requestHandle;
+    // The memory of the request that is being processed; null if there is none.
+    private RequestMemoryBudget.Reservation currentMemory;
+    // Whether a refusal is due after the responses to all earlier requests.
+    private boolean refusalPending;
     // The HTTP version of the request that is being processed.
     private HttpVersion httpVersion = HttpVersion.HTTP_1_1;
     // The Req-Id of the request that is being processed; null if it has none.
@@ -65,7 +68,7 @@
         this.connectionNumber = context.connections().nextConnectionNumber();
         this.liveness = new ClientLiveness(channel, ClientListener.MAX_READS_PER_LOOP);
         this.requestTimeout = new RequestTimeoutHandler(this, context.loop());
-        this.reader = new RequestReader(this, channel, context.bufferBudget());
+        this.reader = new RequestReader(this, channel, context);
         this.responseWriter = new ResponseWriter(this, channel);
     }
 
@@ -89,9 +92,10 @@
     private void onClosed() {
         context.connections().remove(this);
         requestTimeout.cancel();
-        pipelinedRequests.forEach(FullHttpRequest::release);
+        pipelinedRequests.forEach(BufferedRequest::release);
         pipelinedRequests.clear();
         reader.onConnectionClosed();
+        releaseCurrentMemory();
         if (requestHandle != null) {
             requestHandle.onClientDisconnected();
         }
@@ -186,28 +190,29 @@
         requestTimeout.cancel();
     }
 
-    /** Processes or queues a buffered request that has been received completely. */
-    void onRequestReceived(FullHttpRequest request) {
+    /** Processes or queues a buffered request that has been received completely, and owns it. */
+    void onRequestReceived(BufferedRequest received) {
         receiving = false;
         requestTimeout.cancel();
         if (phase == RequestPhase.NONE) {
             // Deferred until this event loop iteration has read everything: if the client closed
             // the connection after its request, the request is not forwarded.
             phase = RequestPhase.SCHEDULED;
-            pipelinedRequests.add(request.retain());
+            pipelinedRequests.add(received);
             context.loop().execute(this::processNextRequest);
             return;
         }
         context.events()
                 .record(
                         EventLog.Kind.PIPELINED,
-                        request.headers().get("Req-Id"),
+                        received.request().headers().get("Req-Id"),
                         () -> "behind " + currentRequestId + ", " + this);
         // The scheduled request is in the queue but does not count as pipelined.
         int scheduledRequests = phase == RequestPhase.SCHEDULED ? 1 : 0;
         if (pipelinedRequests.size() < MAX_PIPELINED_REQUESTS + scheduledRequests) {
-            pipelinedRequests.add(request.retain());
+            pipelinedRequests.add(received);
         } else {
+            received.release();
             acceptNoMoreRequests();
         }
     }
@@ -217,13 +222,16 @@
             return;
         }
         phase = RequestPhase.NONE;
-        FullHttpRequest next = pipelinedRequests.poll();
+        BufferedRequest next = pipelinedRequests.poll();
         if (next != null) {
-            beginRequest(next);
-            context.requestProcessor().process(this, next);
-            next.release();
+            beginRequest(next.request(), next.memory());
+            context.requestProcessor().process(this, next.request());
+            next.request().release();
         } else if (reader.hasUpload()) {
             reader.forwardUpload();
+        } else if (refusalPending) {
+            refusalPending = false;
+            sendRefusal();
         } else if (closing || context.servingState().endsConnections()) {
             closeGracefully();
         } else if (receiving || decoder.hasUndecodedBytes()) {
@@ -234,15 +242,26 @@
         }
     }
 
-    private void beginRequest(HttpRequest request) {
+    private void beginRequest(HttpRequest request, RequestMemoryBudget.Reservation memory) {
+        releaseCurrentMemory();
+        currentMemory = memory;
+        memory.onTurn();
         phase = RequestPhase.PROCESSING;
         requestCount++;
         currentRequestId = request.headers().get("Req-Id");
     }
 
+    private void releaseCurrentMemory() {
+        if (currentMemory != null) {
+            currentMemory.release();
+            currentMemory = null;
+        }
+    }
+
     /** Processes a request with a streamed body immediately. */
-    void forwardStreamedRequest(HttpRequest request, BodyRelay body) {
-        beginRequest(request);
+    void forwardStreamedRequest(
+            HttpRequest request, BodyRelay body, RequestMemoryBudget.Reservation memory) {
+        beginRequest(request, memory);
         context.requestProcessor().processStreamed(this, request, body);
     }
 
@@ -287,6 +306,26 @@
         closing = true;
     }
 
+    /**
+     * Refuses an incomplete request that exceeds the memory for requests. The client gets a 503
+     * after the responses to its earlier requests, and its later requests are dropped.
+     */
+    void refuseIncompleteRequest(HttpRequest request) {
+        logRejection(request, "no memory left for buffered requests");
+        requestTimeout.cancel();
+        if (isRequestInProgress()) {
+            refusalPending = true;
+        } else {
+            sendRefusal();
+        }
+        closing = true;
+    }
+
+    private void sendRefusal() {
+        sendText(
+                HttpResponseStatus.SERVICE_UNAVAILABLE, "refused: trying again is harmless", false);
+    }
+
     void logRejection(HttpRequest request, String reason) {
         context.events()
                 .record(
@@ -336,7 +375,8 @@
 
     // Requests that have already been received are answered even while draining or stopping.
     private boolean shouldKeepOpen(boolean keepAlive) {
-        boolean hasQueuedRequests = !pipelinedRequests.isEmpty() || reader.hasWaitingUpload();
+        boolean hasQueuedRequests =
+                !pipelinedRequests.isEmpty() || reader.hasWaitingUpload() || refusalPending;
         boolean mayReceiveMore = !context.servingState().endsConnections() && !closing;
         return keepAlive && (hasQueuedRequests || mayReceiveMore);
     }
@@ -352,6 +392,7 @@
 
     /** Handles the end of a response; closes the connection unless {@code keepOpen}. */
     void onResponseWritten(boolean keepOpen) {
+        releaseCurrentMemory();
         if (!keepOpen) {
             closeGracefully();
         } else if (pipelinedRequests.isEmpty()) {
--- a/balancer/src/main/java/loadbalancer/http/HttpFrontend.java
+++ b/balancer/src/main/java/loadbalancer/http/HttpFrontend.java
@@ -58,7 +58,13 @@
                 new RequestProcessor(new ProxyRequestParser(boot), dispatcher, servingState);
         this.context =
                 new FrontendContext(
-                        loop, servingState, connections, requestProcessor, events, bufferBudget);
+                        loop,
+                        servingState,
+                        connections,
+                        requestProcessor,
+                        events,
+                        bufferBudget,
+                        RequestMemoryBudget.forHeap(Runtime.getRuntime().maxMemory()));
     }
 
     private void onAccepted(Channel channel) {
--- a/balancer/src/main/java/loadbalancer/http/RequestReader.java
+++ b/balancer/src/main/java/loadbalancer/http/RequestReader.java
@@ -48,8 +48,14 @@
     private final ClientConnection connection;
     private final Channel channel;
     private final BodyRelay.BufferBudget bufferBudget;
+    private final RequestMemoryBudget requestMemory;
     // The head of the request that is being received; null between requests.
     private HttpRequest requestHead;
+    // The memory of the request that is being received; null between requests and once the request
+    // has been passed on.
+    private RequestMemoryBudget.Reservation memory;
+    // The estimated memory of the request's head in bytes; 0 unless the request is pipelined.
+    private int headBytes;
     // Null if there is no body, and once the body is streamed.
     private ByteBuf bufferedBody;
     // The bytes received of the current request's body.
@@ -58,11 +64,11 @@
     private BodyRelay upload;
     private UploadState uploadState = UploadState.NONE;
 
-    RequestReader(
-            ClientConnection connection, Channel channel, BodyRelay.BufferBudget bufferBudget) {
+    RequestReader(ClientConnection connection, Channel channel, FrontendContext context) {
         this.connection = connection;
         this.channel = channel;
-        this.bufferBudget = bufferBudget;
+        this.bufferBudget = context.bufferBudget();
+        this.requestMemory = context.requestMemory();
     }
 
     /** Returns the number of bytes received of the current request's body. */
@@ -114,14 +120,17 @@
     private void onRequestHead(HttpRequest request) {
         requestHead = request;
         bodyBytes = 0;
+        boolean pipelined = connection.isRequestInProgress();
+        memory = requestMemory.newReservation(pipelined);
+        headBytes = pipelined ? BufferedRequest.headBytes(request) : 0;
         connection.requestTimeout().onRequestHead();
         if (!request.decoderResult().isSuccess()) {
             // Treated as complete, so that it is rejected: nothing after it can be decoded.
             onRequestComplete();
         } else if (HttpUtil.getContentLength(request, 0L) > MAX_BODY_BYTES) {
-            requestHead = null;
-            connection.rejectIncompleteRequest(
-                    request, HttpResponseStatus.REQUEST_ENTITY_TOO_LARGE);
+            abortAndReject(HttpResponseStatus.REQUEST_ENTITY_TOO_LARGE);
+        } else if (!memory.growTo(headBytes)) {
+            abortAndRefuse();
         } else if (!connection.isRequestInProgress() && HttpUtil.is100ContinueExpected(request)) {
             channel.writeAndFlush(
                     new DefaultFullHttpResponse(
@@ -147,6 +156,10 @@
         if (upload == null && bodyBytes > MAX_BUFFERED_BODY_BYTES) {
             startUpload();
         }
+        if (upload == null && !memory.growTo(headBytes + bufferCapacity((int) bodyBytes))) {
+            abortAndRefuse();
+            return;
+        }
         boolean isLast = content instanceof LastHttpContent;
         if (upload != null) {
             addToUpload(content.content(), isLast);
@@ -160,6 +173,11 @@
         }
     }
 
+    // Buffers grow to the next power of two.
+    private static int bufferCapacity(int bytes) {
+        return bytes <= 1 ? bytes : Integer.highestOneBit(bytes - 1) << 1;
+    }
+
     private void addToBuffer(ByteBuf content) {
         if (!content.isReadable()) {
             return;
@@ -191,8 +209,13 @@
         request.setDecoderResult(requestHead.decoderResult());
         requestHead = null;
         bufferedBody = null;
-        connection.onRequestReceived(request);
-        request.release();
+        connection.onRequestReceived(new BufferedRequest(request, takeMemory()));
+    }
+
+    private RequestMemoryBudget.Reservation takeMemory() {
+        RequestMemoryBudget.Reservation taken = memory;
+        memory = null;
+        return taken;
     }
 
     // A buffered request gets the failed decoder result and is rejected as a whole. An upload is
@@ -212,6 +235,12 @@
         connection.rejectIncompleteRequest(request, status);
     }
 
+    private void abortAndRefuse() {
+        HttpRequest request = requestHead;
+        abortRequest();
+        connection.refuseIncompleteRequest(request);
+    }
+
     private void abortRequest() {
         discardPartialRequest();
         if (upload != null) {
@@ -232,6 +261,9 @@
             bufferedBody.release();
             bufferedBody = null;
         }
+        if (memory != null) {
+            takeMemory().release();
+        }
     }
 
     private void startUpload() {
@@ -251,7 +283,7 @@
         if (uploadState != UploadState.RECEIVED) {
             uploadState = UploadState.FORWARDING;
         }
-        connection.forwardStreamedRequest(requestHead, upload);
+        connection.forwardStreamedRequest(requestHead, upload, takeMemory());
         if (uploadState == UploadState.RECEIVED) {
             completeUpload();
         }
--- a/balancer/src/test/java/loadbalancer/http/EmbeddedFrontend.java
+++ b/balancer/src/test/java/loadbalancer/http/EmbeddedFrontend.java
@@ -30,6 +30,12 @@
     static final String POST_HEAD =
             "POST /k1 HTTP/1.1\r\nReq-Id: r1\r\nReq-Kind: book\r\nReq-Deadline-Ms: 20000\r\n";
 
+    /** The limit on the memory of buffered requests. */
+    static final int MAX_REQUEST_MEMORY_BYTES = 1024 * 1024;
+
+    /** The limit on the memory of pipelined requests. */
+    static final int MAX_PIPELINED_MEMORY_BYTES = 512 * 1024;
+
     private static final int DEFAULT_DESCRIPTOR_LIMIT = 1_000;
 
     private final EmbeddedChannel loopChannel = new EmbeddedChannel();
@@ -76,7 +82,9 @@
                         new RequestProcessor(
                                 new ProxyRequestParser(boot), dispatcher, servingState),
                         events,
-                        new BodyRelay.BufferBudget());
+                        new BodyRelay.BufferBudget(),
+                        new RequestMemoryBudget(
+                                MAX_REQUEST_MEMORY_BYTES, MAX_PIPELINED_MEMORY_BYTES));
         servingState.setReady();
     }
 
--- a/balancer/src/test/java/loadbalancer/server/BalancerProcessTest.java
+++ b/balancer/src/test/java/loadbalancer/server/BalancerProcessTest.java
@@ -13,6 +13,7 @@
 import java.net.DatagramSocket;
 import java.net.InetAddress;
 import java.net.InetSocketAddress;
+import java.nio.charset.StandardCharsets;
 import java.nio.file.DirectoryStream;
 import java.nio.file.Files;
 import java.nio.file.Path;
@@ -56,6 +57,8 @@
     private static final long REJECTED_REQUEST_RETRY_MS = 50;
     private static final Duration MAX_DISCOVERY_DELAY = Duration.ofSeconds(6);
     private static final int SIMULTANEOUS_STARTS = 10;
+    private static final int PEERS_THAT_SEND_MUCH = 60;
+    private static final int REQUESTS_AT_ONCE = 17;
     private static final long MAX_START_MS = 10_000;
 
     @TempDir private Path directory;
@@ -94,7 +97,7 @@
                                 "-c",
                                 "ulimit -n " + DESCRIPTOR_LIMIT + "; exec \"$@\"",
                                 "sh"),
-                        List.of("-Xmx32m"));
+                        List.of("-Xmx32m", "-XX:+ExitOnOutOfMemoryError"));
         processes.add(balancer);
         String line = balancer.awaitLine("listening on ");
         balancer.discardLog();
@@ -235,6 +238,47 @@
                 descriptorCount + " descriptors");
     }
 
+    /**
+     * Clients that send as many requests at once as may wait on one connection, with bodies of the
+     * maximum length, must not exhaust the heap, which ends the process.
+     */
+    @Test
+    void clientsThatSendMuchAtOnceDoNotEndTheProcess() throws Exception {
+        RunningBalancer balancer = startBalancer(Map.of());
+        awaitReady(balancer.address());
+        try (HttpTestClientGroup peers = new HttpTestClientGroup(balancer.address())) {
+            byte[] manyRequests = postRequests(REQUESTS_AT_ONCE);
+            for (int i = 0; i < PEERS_THAT_SEND_MUCH; i++) {
+                sendWithoutWaiting(peers.connect(), manyRequests);
+            }
+            TimeUnit.MILLISECONDS.sleep(REQUESTS_SETTLE_MS);
+            assertTrue(balancer.process().isAlive(), "the process has ended");
+        }
+        assertEquals(200, BalancerServerFixtures.readinessStatus(balancer.address()));
+    }
+
+    private static byte[] postRequests(int count) {
+        String head =
+                "POST /k1 HTTP/1.1\r\nReq-Id: r1\r\nReq-Kind: book\r\nReq-Deadline-Ms: 20000\r\n"
+                        + "Content-Length: 65536\r\n\r\n";
+        return (head + "x".repeat(65_536)).repeat(count).getBytes(StandardCharsets.US_ASCII);
+    }
+
+    // The balancer may stop reading or close the connection while the peer sends.
+    private static void sendWithoutWaiting(HttpTestClient peer, byte[] bytes) {
+        Thread sender =
+                new Thread(
+                        () -> {
+                            try {
+                                peer.send(bytes);
+                            } catch (IOException e) {
+                                // The balancer has closed the connection, as it may.
+                            }
+                        });
+        sender.setDaemon(true);
+        sender.start();
+    }
+
     private void assertWatchesAndDatagramsContinue(DatagramSocket peer) throws Exception {
         peer.setSoTimeout((int) TestAwait.TIMEOUT.toMillis());
         takeRequests(discoveryServer);
