--- a/balancer/src/test/java/loadbalancer/http/RequestMemoryBudgetTest.java
+++ b/balancer/src/test/java/loadbalancer/http/RequestMemoryBudgetTest.java
@@ -162,6 +162,15 @@
         assertEquals(0, budget.totalBytes());
     }
 
+    /** Clients may hold a third of 1,024 descriptors for requests of the maximum length. */
+    @Test
+    void aThirdOfTheDescriptorsFitsIntoTheSmallestHeap() {
+        RequestMemoryBudget heapBudget = RequestMemoryBudget.forHeap(40_000_000);
+        for (int i = 0; i < 1_024 / 3; i++) {
+            assertTrue(heapBudget.newReservation(false).growTo(BODY_BYTES), i + " bodies fit");
+        }
+    }
+
     @Test
     void reservationThatDoesNotFitIsUnchanged() {
         RequestMemoryBudget.Reservation reservation = budget.newReservation(false);
