Log how far an attempt had come, dropped requests' ids, and memory in use

The log could not tell an attempt that timed out before its response from one that timed out amid it, named no request for a dropped connection, and said nothing about memory, so that three of the incident's hypotheses could not be told apart. An abandoned attempt's line now ends with how far it had come (partly sent, sent, response begun), a dropped line names the request in progress or being received, and the counters line has the memory of buffered requests.

--- a/balancer/src/main/java/loadbalancer/dispatch/AttemptRunner.java
+++ b/balancer/src/main/java/loadbalancer/dispatch/AttemptRunner.java
@@ -7,6 +7,7 @@
 import loadbalancer.proxy.BodyRelay;
 import loadbalancer.routing.api.AttemptOutcome;
 import loadbalancer.routing.api.LoadReport;
+import loadbalancer.upstream.AttemptProgress;
 import loadbalancer.upstream.UpstreamPool;
 import loadbalancer.upstream.UpstreamResponseListener;
 
@@ -178,9 +179,15 @@
                                         + " after "
                                         + latencyMicros / 1000
                                         + " ms"
+                                        + describeProgress(attempt)
                                         + (exchange.isClosed() ? ", the request was closed" : ""));
     }
 
+    private static String describeProgress(ExchangeAttempt attempt) {
+        AttemptProgress progress = attempt.progressAtEnd();
+        return progress == AttemptProgress.NOT_STARTED ? "" : ", " + progress.label();
+    }
+
     // A streamed response is final from its start, so the attempt is reported to the policy as OK
     // at that time.
     private void onStreamStarted(
--- a/balancer/src/main/java/loadbalancer/dispatch/ExchangeAttempt.java
+++ b/balancer/src/main/java/loadbalancer/dispatch/ExchangeAttempt.java
@@ -1,6 +1,7 @@
 package loadbalancer.dispatch;
 
 import java.util.concurrent.Future;
+import loadbalancer.upstream.AttemptProgress;
 import loadbalancer.upstream.UpstreamRequest;
 
 /**
@@ -16,6 +17,8 @@
     // Null until the pool has returned it. The attempt may end before that.
     private UpstreamRequest upstreamRequest;
     private Future<?> timeoutTask;
+    // Known only of an abandoned attempt.
+    private AttemptProgress progressAtEnd = AttemptProgress.NOT_STARTED;
     private boolean ended;
 
     ExchangeAttempt(Exchange exchange, int number, String endpointId, long startedAtMicros) {
@@ -71,12 +74,20 @@
         upstreamRequest = request;
     }
 
+    /** Returns how far the attempt had come when it ended without its response. */
+    AttemptProgress progressAtEnd() {
+        return progressAtEnd;
+    }
+
     /**
      * Abandons the upstream request, if there is one.
      *
      * @return whether the request's last byte had been written
      */
     boolean abandonUpstreamRequest() {
+        if (upstreamRequest != null) {
+            progressAtEnd = upstreamRequest.progress();
+        }
         return upstreamRequest != null && upstreamRequest.abandon();
     }
 
--- a/balancer/src/main/java/loadbalancer/http/ClientConnection.java
+++ b/balancer/src/main/java/loadbalancer/http/ClientConnection.java
@@ -408,7 +408,7 @@
      * first if its request has been received in part and no earlier one is in progress.
      */
     void drop(String reason) {
-        context.events().record(EventLog.Kind.DROPPED, null, () -> reason + ", " + this);
+        context.events().record(EventLog.Kind.DROPPED, idInProgress(), () -> reason + ", " + this);
         context.connections().markClosing(this);
         if (receiving && !isRequestInProgress()) {
             sendText(HttpResponseStatus.REQUEST_TIMEOUT, "no whole request in time", false);
@@ -417,6 +417,11 @@
         }
     }
 
+    // Returns the id of the request whose response is pending, or else of the one being received.
+    private String idInProgress() {
+        return isRequestInProgress() ? currentRequestId : reader.receivedRequestId();
+    }
+
     /** Logs the close of a connection during a drain and closes it gracefully. */
     void closeForDrain() {
         context.events().record(EventLog.Kind.DROPPED, null, () -> "drained, " + this);
--- a/balancer/src/main/java/loadbalancer/http/HttpFrontend.java
+++ b/balancer/src/main/java/loadbalancer/http/HttpFrontend.java
@@ -181,4 +181,9 @@
     public String toString() {
         return connections.toString();
     }
+
+    /** Returns the memory in use, for the log. */
+    public String memorySummary() {
+        return context.requestMemory().toString();
+    }
 }
--- a/balancer/src/main/java/loadbalancer/http/RequestMemoryBudget.java
+++ b/balancer/src/main/java/loadbalancer/http/RequestMemoryBudget.java
@@ -27,6 +27,8 @@
      */
     static final int MAX_FREE_BYTES = 4 * 1024;
 
+    private static final int BYTES_PER_KB = 1024;
+
     private final long maxTotalBytes;
     private final long maxPipelinedBytes;
     private long totalBytes;
@@ -60,6 +62,16 @@
         return pipelinedBytes;
     }
 
+    /** Returns the reserved bytes in the format of the log's counters line. */
+    @Override
+    public String toString() {
+        return String.format(
+                "%d of %d KB for requests (%d KB pipelined)",
+                totalBytes / BYTES_PER_KB,
+                maxTotalBytes / BYTES_PER_KB,
+                pipelinedBytes / BYTES_PER_KB);
+    }
+
     /** Creates a reservation without any bytes. */
     Reservation newReservation(boolean pipelined) {
         return new Reservation(pipelined);
--- a/balancer/src/main/java/loadbalancer/http/RequestReader.java
+++ b/balancer/src/main/java/loadbalancer/http/RequestReader.java
@@ -76,6 +76,11 @@
         return bodyBytes;
     }
 
+    /** Returns the Req-Id of the request that is being received; null if it is not known. */
+    String receivedRequestId() {
+        return requestHead == null ? null : requestHead.headers().get("Req-Id");
+    }
+
     boolean hasUpload() {
         return upload != null;
     }
--- a/balancer/src/main/java/loadbalancer/server/BalancerServer.java
+++ b/balancer/src/main/java/loadbalancer/server/BalancerServer.java
@@ -303,7 +303,9 @@
                 + ": "
                 + frontend
                 + ", "
-                + upstreamPool;
+                + upstreamPool
+                + ", "
+                + frontend.memorySummary();
     }
 
     // Called after the routing policy has received an endpoint list. Starts the periodic snapshots.
--- a/balancer/src/main/java/loadbalancer/upstream/ResponseReader.java
+++ b/balancer/src/main/java/loadbalancer/upstream/ResponseReader.java
@@ -81,6 +81,7 @@
         } else {
             if (message instanceof HttpResponse head) {
                 responseHead = head;
+                connection.onResponseHead();
             }
             if (message instanceof HttpContent content && responseHead != null) {
                 onContent(content);
--- a/balancer/src/main/java/loadbalancer/upstream/UpstreamConnection.java
+++ b/balancer/src/main/java/loadbalancer/upstream/UpstreamConnection.java
@@ -29,6 +29,8 @@
     // Null if the connection is idle or its request was abandoned.
     private UpstreamRequest request;
     private WriteProgress writeProgress = WriteProgress.NOT_STARTED;
+    // Whether part of the response to the current request has been received.
+    private boolean responding;
     private long idleSinceMicros;
     // True after a fault. Further input is ignored.
     private boolean broken;
@@ -83,6 +85,7 @@
     void write(UpstreamRequest nextRequest) {
         assign(nextRequest);
         writeProgress = WriteProgress.STARTED;
+        responding = false;
         BodyRelay upload = nextRequest.upload();
         if (upload != null) {
             channel.write(nextRequest.toHttpRequest(endpoint.address()));
@@ -137,6 +140,23 @@
         return writeProgress == WriteProgress.COMPLETE;
     }
 
+    /** Records that the head of a response to the current request has been received. */
+    void onResponseHead() {
+        responding = true;
+    }
+
+    /** Returns how far the current request has come. */
+    AttemptProgress progress() {
+        if (responding) {
+            return AttemptProgress.RESPONDING;
+        }
+        return switch (writeProgress) {
+            case NOT_STARTED -> AttemptProgress.NOT_STARTED;
+            case STARTED -> AttemptProgress.SENDING;
+            case COMPLETE -> AttemptProgress.SENT;
+        };
+    }
+
     private UpstreamRequest detachRequest() {
         UpstreamRequest detachedRequest = request;
         request = null;
--- a/balancer/src/main/java/loadbalancer/upstream/UpstreamRequest.java
+++ b/balancer/src/main/java/loadbalancer/upstream/UpstreamRequest.java
@@ -80,6 +80,11 @@
         return proxyRequest.upload();
     }
 
+    /** Returns how far the request has come; {@code NOT_STARTED} once it has ended. */
+    public AttemptProgress progress() {
+        return connection == null ? AttemptProgress.NOT_STARTED : connection.progress();
+    }
+
     void setConnection(UpstreamConnection newConnection) {
         connection = newConnection;
     }
