--- a/balancer/src/test/java/loadbalancer/server/FakeHttpServer.java
+++ b/balancer/src/test/java/loadbalancer/server/FakeHttpServer.java
@@ -258,6 +258,11 @@
         return receivedRequest;
     }
 
+    /** Returns the next request; waits for it without a limit. */
+    ReceivedRequest takeRequest() throws InterruptedException {
+        return receivedRequests.take();
+    }
+
     /** Returns whether the test has taken all requests received so far. */
     public boolean hasNoQueuedRequests() {
         return receivedRequests.isEmpty();
--- /dev/null
+++ b/balancer/src/test/java/loadbalancer/server/PeerMemoryProcessTest.java
@@ -0,0 +1,129 @@
+package loadbalancer.server;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import com.fasterxml.jackson.jr.ob.JSON;
+import java.io.IOException;
+import java.net.InetSocketAddress;
+import java.nio.charset.StandardCharsets;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.time.Duration;
+import java.util.List;
+import java.util.Map;
+import java.util.concurrent.TimeUnit;
+import loadbalancer.ServeProcess;
+import loadbalancer.TestAwait;
+import loadbalancer.config.SocketAddressParser;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Tag;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.Timeout;
+import org.junit.jupiter.api.io.TempDir;
+
+/**
+ * Tests that hundreds of peers at once can't exhaust the memory of a balancer, which runs in a
+ * process of its own with the heap of the deploy file and 1,024 descriptors.
+ */
+@Timeout(120)
+@Tag("process")
+class PeerMemoryProcessTest {
+    private static final int DESCRIPTOR_LIMIT = 1_024;
+    private static final List<String> JVM_OPTIONS =
+            List.of(
+                    "-XX:+UseSerialGC",
+                    "-Xms40m",
+                    "-Xmx40m",
+                    "-XX:MaxDirectMemorySize=16m",
+                    "-XX:+ExitOnOutOfMemoryError",
+                    "-Dio.netty.allocator.type=unpooled");
+    private static final Duration READY_TIMEOUT = Duration.ofSeconds(60);
+    private static final int PEERS = 400;
+    // As many fields of four bytes as fit into the longest head.
+    private static final int FIELDS_PER_HEAD = 1_900;
+    private static final int REQUESTS_BESIDE_PEERS = 20;
+    private static final long REQUEST_INTERVAL_MS = 50;
+
+    @TempDir private Path directory;
+    private AutomaticUpstream upstream;
+    private ServeProcess balancer;
+    private InetSocketAddress address;
+
+    @BeforeEach
+    void start() throws IOException {
+        upstream = new AutomaticUpstream();
+        Map<String, Object> config =
+                BalancerServerFixtures.rawConfig(
+                        Map.of(
+                                "limits",
+                                Map.of("sockets", DESCRIPTOR_LIMIT),
+                                "settings",
+                                BalancerServerFixtures.settings(),
+                                "known",
+                                BalancerServerFixtures.initialEndpointList(
+                                        "s1", upstream.address())));
+        Path file = Files.writeString(directory.resolve("config.json"), JSON.std.asString(config));
+        balancer =
+                ServeProcess.start(
+                        file.toString(),
+                        List.of(
+                                "/bin/sh",
+                                "-c",
+                                "ulimit -n " + DESCRIPTOR_LIMIT + "; exec \"$@\"",
+                                "sh"),
+                        JVM_OPTIONS);
+        String line = balancer.awaitLine("listening on ");
+        balancer.discardLog();
+        address = SocketAddressParser.parse(line.substring(line.lastIndexOf(' ') + 1));
+        TestAwait.await("the balancer is ready")
+                .atMost(READY_TIMEOUT)
+                .until(() -> BalancerServerFixtures.readinessStatus(address) == 200);
+    }
+
+    @AfterEach
+    void stop() throws IOException {
+        balancer.close();
+        upstream.close();
+    }
+
+    /**
+     * A field of four bytes takes over a hundred in the heap, and heads that never end were counted
+     * by nobody.
+     */
+    @Test
+    void unfinishedHeadsOfManyShortFieldsDoNotEndTheProcess() throws Exception {
+        byte[] unfinishedHead = ascii("POST /k1 HTTP/1.1\r\n" + "a:\r\n".repeat(FIELDS_PER_HEAD));
+        try (HttpTestClientGroup peers = new HttpTestClientGroup(address)) {
+            sendFromAll(peers, unfinishedHead);
+            assertRequestsAreServed();
+        }
+        assertTrue(balancer.process().isAlive(), "the process has ended");
+    }
+
+    private void sendFromAll(HttpTestClientGroup peers, byte[] bytes) throws IOException {
+        for (int i = 0; i < PEERS; i++) {
+            try {
+                peers.connect().send(bytes);
+            } catch (IOException e) {
+                // The balancer has closed the connection, as it may.
+                assertTrue(balancer.process().isAlive(), "the process has ended");
+            }
+        }
+    }
+
+    private void assertRequestsAreServed() throws Exception {
+        for (int i = 0; i < REQUESTS_BESIDE_PEERS; i++) {
+            try (HttpTestClient client = new HttpTestClient(address)) {
+                client.send(BalancerServerFixtures.requestWithId("beside" + i));
+                assertEquals(200, client.readStatus(), "request " + i + " beside the peers");
+            }
+            TimeUnit.MILLISECONDS.sleep(REQUEST_INTERVAL_MS);
+        }
+    }
+
+    private static byte[] ascii(String text) {
+        return text.getBytes(StandardCharsets.US_ASCII);
+    }
+}
