--- a/balancer/src/main/java/loadbalancer/dispatch/Exchange.java
+++ b/balancer/src/main/java/loadbalancer/dispatch/Exchange.java
@@ -104,6 +104,14 @@
         fallbackTimer.cancel(false);
     }
 
+    /** Frees the streamed body, if there is one, which no attempt may have taken. */
+    void discardUpload() {
+        BodyRelay upload = proxyRequest.upload();
+        if (upload != null) {
+            upload.discard();
+        }
+    }
+
     boolean isUploading() {
         return uploading;
     }
--- a/balancer/src/main/java/loadbalancer/dispatch/RequestTable.java
+++ b/balancer/src/main/java/loadbalancer/dispatch/RequestTable.java
@@ -39,9 +39,11 @@
         return exchanges.get(requestId);
     }
 
+    /** Removes a request that needs nothing more, and frees what it retains. */
     void removeIfFinished(Exchange exchange) {
-        if (exchange.isFinished()) {
-            exchanges.remove(exchange.id());
+        if (exchange.isFinished() && exchanges.remove(exchange.id()) != null) {
+            exchange.discardUpload();
+            exchange.responseSender().onRequestFinished();
         }
     }
 
--- a/balancer/src/main/java/loadbalancer/dispatch/ResponseSender.java
+++ b/balancer/src/main/java/loadbalancer/dispatch/ResponseSender.java
@@ -32,6 +32,12 @@
      */
     void reject(long retryAfterMicros);
 
+    /**
+     * Called once, when the request has its final response and none of its attempts is in flight:
+     * the dispatcher no longer retains the request.
+     */
+    void onRequestFinished();
+
     /** Sends a failure. The request may have run on an upstream. */
     void fail();
 }
--- a/balancer/src/main/java/loadbalancer/http/ClientConnection.java
+++ b/balancer/src/main/java/loadbalancer/http/ClientConnection.java
@@ -12,6 +12,7 @@
 import loadbalancer.admin.EventLog;
 import loadbalancer.dispatch.RequestHandle;
 import loadbalancer.proxy.BodyRelay;
+import loadbalancer.proxy.MemoryReservation;
 import loadbalancer.proxy.StrictFraming;
 
 /**
@@ -38,7 +39,8 @@
     private final FrontendContext context;
     private final ClientLiveness liveness;
     private final RequestTimeoutHandler requestTimeout;
-    private final StrictFraming.RequestDecoder decoder = new StrictFraming.RequestDecoder();
+    // Null once no more requests are handled, so that nothing of an incomplete one is retained.
+    private StrictFraming.RequestDecoder decoder = new StrictFraming.RequestDecoder();
     private final RequestReader reader;
     private final ResponseWriter responseWriter;
     private final ArrayDeque<BufferedRequest> pipelinedRequests = new ArrayDeque<>();
@@ -50,8 +52,10 @@
     private boolean closing;
     // Null unless the dispatcher still has to provide a final response.
     private RequestHandle requestHandle;
+    // The memory that the decoder retains of an incomplete head.
+    private final MemoryReservation decoderMemory;
     // The memory of the request that is being processed; null if there is none.
-    private RequestMemoryBudget.Reservation currentMemory;
+    private MemoryReservation currentMemory;
     // Whether a refusal is due after the responses to all earlier requests.
     private boolean refusalPending;
     // The HTTP version of the request that is being processed.
@@ -68,6 +72,7 @@
         this.connectionNumber = context.connections().nextConnectionNumber();
         this.liveness = new ClientLiveness(channel, ClientListener.MAX_READS_PER_LOOP);
         this.requestTimeout = new RequestTimeoutHandler(this, context.loop());
+        this.decoderMemory = new MemoryReservation(context.memory(), false);
         this.reader = new RequestReader(this, channel, context);
         this.responseWriter = new ResponseWriter(this, channel);
     }
@@ -96,6 +101,7 @@
         pipelinedRequests.clear();
         reader.onConnectionClosed();
         releaseCurrentMemory();
+        decoderMemory.release();
         if (requestHandle != null) {
             requestHandle.onClientDisconnected();
         }
@@ -175,6 +181,25 @@
         }
     }
 
+    /** Counts the memory of an incomplete head, after received bytes have been decoded. */
+    void onBytesDecoded() {
+        if (!closing && decoder != null && !resizeDecoderMemory()) {
+            refuseIncompleteRequest(null);
+        }
+    }
+
+    private boolean resizeDecoderMemory() {
+        int retainedBytes = decoder.retainedBytes();
+        return decoderMemory.resizeTo(retainedBytes)
+                || (context.connections().evictStalledHolders(this)
+                        && decoderMemory.resizeTo(retainedBytes));
+    }
+
+    /** Returns the bytes that an incomplete request of this connection retains. */
+    int incompleteRequestBytes() {
+        return receiving ? decoderMemory.bytes() + reader.incompleteRequestBytes() : 0;
+    }
+
     void markReceiving() {
         receiving = true;
     }
@@ -182,6 +207,20 @@
     /** Drops all further input; the connection is closed after the pending responses. */
     void acceptNoMoreRequests() {
         closing = true;
+        stopDecoding();
+    }
+
+    // Frees what the decoder retains of a request that will not be processed.
+    private void stopDecoding() {
+        if (decoder == null) {
+            return;
+        }
+        StrictFraming.RequestDecoder stoppedDecoder = decoder;
+        decoder = null;
+        decoderMemory.resizeTo(0);
+        if (channel.pipeline().context(stoppedDecoder) != null) {
+            channel.pipeline().remove(stoppedDecoder);
+        }
     }
 
     /** Handles the end of a streamed request's body. */
@@ -234,7 +273,7 @@
             sendRefusal();
         } else if (closing || context.servingState().endsConnections()) {
             closeGracefully();
-        } else if (receiving || decoder.hasUndecodedBytes()) {
+        } else if (receiving || (decoder != null && decoder.hasUndecodedBytes())) {
             receiving = true;
             requestTimeout.start();
         } else if (channel.isActive()) {
@@ -242,7 +281,7 @@
         }
     }
 
-    private void beginRequest(HttpRequest request, RequestMemoryBudget.Reservation memory) {
+    private void beginRequest(HttpRequest request, MemoryReservation memory) {
         releaseCurrentMemory();
         currentMemory = memory;
         memory.onTurn();
@@ -251,6 +290,11 @@
         currentRequestId = request.headers().get("Req-Id");
     }
 
+    /** Returns the memory of the request that is being processed. */
+    MemoryReservation currentMemory() {
+        return currentMemory;
+    }
+
     private void releaseCurrentMemory() {
         if (currentMemory != null) {
             currentMemory.release();
@@ -259,8 +303,7 @@
     }
 
     /** Processes a request with a streamed body immediately. */
-    void forwardStreamedRequest(
-            HttpRequest request, BodyRelay body, RequestMemoryBudget.Reservation memory) {
+    void forwardStreamedRequest(HttpRequest request, BodyRelay body, MemoryReservation memory) {
         beginRequest(request, memory);
         context.requestProcessor().processStreamed(this, request, body);
     }
@@ -303,12 +346,14 @@
         if (!isRequestInProgress()) {
             sendText(status, status.reasonPhrase(), false);
         }
-        closing = true;
+        acceptNoMoreRequests();
     }
 
     /**
      * Refuses an incomplete request that exceeds the memory for requests. The client gets a 503
      * after the responses to its earlier requests, and its later requests are dropped.
+     *
+     * @param request the head of the request; null if that is incomplete
      */
     void refuseIncompleteRequest(HttpRequest request) {
         logRejection(request, "no memory left for buffered requests");
@@ -318,7 +363,7 @@
         } else {
             sendRefusal();
         }
-        closing = true;
+        acceptNoMoreRequests();
     }
 
     private void sendRefusal() {
@@ -330,7 +375,7 @@
         context.events()
                 .record(
                         EventLog.Kind.REJECTED,
-                        request.headers().get("Req-Id"),
+                        request == null ? null : request.headers().get("Req-Id"),
                         () -> reason + ", " + this);
     }
 
@@ -342,6 +387,9 @@
     /** Sends a final response; {@code keepAlive} is whether the client keeps the connection. */
     void sendResponse(FullHttpResponse response, boolean keepAlive) {
         requestHandle = null;
+        if (currentMemory != null) {
+            currentMemory.add(response.content().capacity());
+        }
         if (phase == RequestPhase.NONE) {
             phase = RequestPhase.PROCESSING;
         }
@@ -411,7 +459,9 @@
         context.events().record(EventLog.Kind.DROPPED, idInProgress(), () -> reason + ", " + this);
         context.connections().markClosing(this);
         if (receiving && !isRequestInProgress()) {
+            reader.discardPartialRequest();
             sendText(HttpResponseStatus.REQUEST_TIMEOUT, "no whole request in time", false);
+            stopDecoding();
         } else {
             closeAtOnce();
         }
--- a/balancer/src/main/java/loadbalancer/http/ClientConnections.java
+++ b/balancer/src/main/java/loadbalancer/http/ClientConnections.java
@@ -10,6 +10,7 @@
 import java.util.function.BooleanSupplier;
 import java.util.stream.Stream;
 import loadbalancer.proxy.FileDescriptorBudget;
+import loadbalancer.proxy.MemoryReservation;
 
 /**
  * Tracks all client connections and enforces the limit on their number: decides which connections
@@ -40,6 +41,9 @@
     private long acceptedCount;
     // Whether enforceLimit is on the call stack.
     private boolean enforcingLimit;
+    // Whether evictStalledHolders is on the call stack: its check reads connections, which may
+    // themselves need memory.
+    private boolean evictingHolders;
     // Null unless the connection limit is reached and connections wait in the backlog.
     private Future<?> acceptRetry;
     // Null before a shutdown and after the callback has run.
@@ -260,6 +264,40 @@
         }
     }
 
+    /**
+     * Drops connections that hold the memory of an incomplete request and have stalled, because
+     * there is no memory for another client.
+     *
+     * @param requester the connection that needs memory, which is not dropped
+     * @return whether a connection was dropped
+     */
+    boolean evictStalledHolders(ClientConnection requester) {
+        if (evictingHolders) {
+            return false;
+        }
+        evictingHolders = true;
+        try {
+            return dropStalledHolders(requester);
+        } finally {
+            evictingHolders = false;
+        }
+    }
+
+    private boolean dropStalledHolders(ClientConnection requester) {
+        long nowNanos = System.nanoTime();
+        boolean evicted = false;
+        for (ClientConnection connection : List.copyOf(unproven)) {
+            if (connection != requester
+                    && connection.incompleteRequestBytes() > MemoryReservation.MAX_FREE_BYTES
+                    && isStalled(connection, nowNanos)
+                    && connection.confirmStalled()) {
+                connection.drop("unfinished request, evicted for its memory");
+                evicted = true;
+            }
+        }
+        return evicted;
+    }
+
     private void evictIdle() {
         while (isLimitReached() && !idle.isEmpty()) {
             findIdleToEvict().drop("idle, evicted at the limit");
--- a/balancer/src/main/java/loadbalancer/http/ClientListener.java
+++ b/balancer/src/main/java/loadbalancer/http/ClientListener.java
@@ -1,7 +1,8 @@
 package loadbalancer.http;
 
 import io.netty.bootstrap.ServerBootstrap;
-import io.netty.channel.AdaptiveRecvByteBufAllocator;
+import io.netty.buffer.ByteBufAllocator;
+import io.netty.buffer.UnpooledByteBufAllocator;
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelFuture;
 import io.netty.channel.ChannelInitializer;
@@ -16,6 +17,8 @@
 import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
 import java.util.function.LongSupplier;
+import loadbalancer.proxy.PeerMemory;
+import loadbalancer.proxy.PeerReadAllocator;
 
 /**
  * Owns the listening socket with its accept backlog, and the in-process listener of a warm-up.
@@ -27,15 +30,15 @@
     static final int MAX_READS_PER_LOOP = 4;
 
     private static final int ACCEPT_BACKLOG = 1024;
-    private static final int MIN_READ_BYTES = 64;
-    private static final int INITIAL_READ_BYTES = 2048;
-    private static final int MAX_READ_BYTES = 32 * 1024;
     private static final long BACKLOG_POLL_INTERVAL_MS = 2;
     private static final int MAX_BACKLOG_POLLS = 50;
     // Differs from every connection count, so that there is always a second poll.
     private static final long NO_PREVIOUS_COUNT = -1;
 
+    private static final ByteBufAllocator HEAP_ALLOCATOR = new UnpooledByteBufAllocator(false);
+
     private final EventLoop loop;
+    private final PeerMemory memory;
     private final ChannelInitializer<Channel> connectionInitializer;
     private Channel serverChannel;
     // Null unless a warm-up listens in this process.
@@ -45,10 +48,12 @@
     /**
      * Creates a listener without a socket.
      *
+     * @param memory the limit on the memory of all clients and upstreams together
      * @param onAccepted sets up the pipeline of each accepted channel, on the event loop
      */
-    ClientListener(EventLoop loop, Consumer<Channel> onAccepted) {
+    ClientListener(EventLoop loop, PeerMemory memory, Consumer<Channel> onAccepted) {
         this.loop = loop;
+        this.memory = memory;
         this.connectionInitializer =
                 new ChannelInitializer<>() {
                     @Override
@@ -100,22 +105,16 @@
                                 serverChannel = channel;
                             }
                         })
-                .childOption(ChannelOption.RCVBUF_ALLOCATOR, readUntilEmptyAllocator())
+                .childOption(ChannelOption.ALLOCATOR, HEAP_ALLOCATOR)
+                // Reads until the receive buffer is empty, so that a client's close is detected
+                // together with the data sent before it.
+                .childOption(
+                        ChannelOption.RCVBUF_ALLOCATOR,
+                        new PeerReadAllocator(memory, MAX_READS_PER_LOOP, true))
                 .childOption(ChannelOption.TCP_NODELAY, true)
                 .childHandler(connectionInitializer);
     }
 
-    // Reads until the receive buffer is empty, so that a client's close is detected together with
-    // the data sent before it.
-    private static AdaptiveRecvByteBufAllocator readUntilEmptyAllocator() {
-        AdaptiveRecvByteBufAllocator allocator =
-                new AdaptiveRecvByteBufAllocator(
-                        MIN_READ_BYTES, INITIAL_READ_BYTES, MAX_READ_BYTES);
-        allocator.maxMessagesPerRead(MAX_READS_PER_LOOP);
-        allocator.respectMaybeMoreData(false);
-        return allocator;
-    }
-
     private static InetSocketAddress awaitBound(ChannelFuture bindFuture) throws IOException {
         try {
             if (Thread.interrupted()) {
--- a/balancer/src/main/java/loadbalancer/http/ClientResponseSender.java
+++ b/balancer/src/main/java/loadbalancer/http/ClientResponseSender.java
@@ -10,6 +10,7 @@
 import java.util.function.Consumer;
 import loadbalancer.dispatch.ResponseSender;
 import loadbalancer.proxy.BodyRelay;
+import loadbalancer.proxy.MemoryReservation;
 
 /**
  * Sends the final response to one request. The dispatcher calls exactly one of its sending methods,
@@ -20,9 +21,17 @@
 
     private final ClientConnection connection;
     private final boolean keepAlive;
+    private final MemoryReservation memory;
     private boolean responded;
 
-    ClientResponseSender(ClientConnection connection, boolean keepAlive) {
+    /**
+     * Creates a sender, and holds the memory of its request until the request has finished.
+     *
+     * @param memory the memory of the request
+     */
+    ClientResponseSender(ClientConnection connection, boolean keepAlive, MemoryReservation memory) {
+        this.memory = memory;
+        memory.retain();
         this.connection = connection;
         this.keepAlive = keepAlive;
     }
@@ -79,6 +88,11 @@
         connection.sendResponse(response, keepAlive);
     }
 
+    @Override
+    public void onRequestFinished() {
+        memory.release();
+    }
+
     @Override
     public void fail() {
         responded = true;
--- a/balancer/src/main/java/loadbalancer/http/FrontendContext.java
+++ b/balancer/src/main/java/loadbalancer/http/FrontendContext.java
@@ -2,13 +2,12 @@
 
 import io.netty.channel.EventLoop;
 import loadbalancer.admin.EventLog;
-import loadbalancer.proxy.BodyRelay;
+import loadbalancer.proxy.PeerMemory;
 
 /**
  * The objects that all client connections of one {@link HttpFrontend} share.
  *
- * @param bufferBudget the limit on the bytes that are buffered of all streamed bodies together
- * @param requestMemory the limit on the memory of all buffered requests together
+ * @param memory the limit on the memory of all clients and upstreams together
  */
 record FrontendContext(
         EventLoop loop,
@@ -16,5 +15,4 @@
         ClientConnections connections,
         RequestProcessor requestProcessor,
         EventLog events,
-        BodyRelay.BufferBudget bufferBudget,
-        RequestMemoryBudget requestMemory) {}
+        PeerMemory memory) {}
--- a/balancer/src/main/java/loadbalancer/http/HttpFrontend.java
+++ b/balancer/src/main/java/loadbalancer/http/HttpFrontend.java
@@ -12,8 +12,8 @@
 import loadbalancer.admin.EventLog;
 import loadbalancer.config.BootSettings;
 import loadbalancer.dispatch.Dispatcher;
-import loadbalancer.proxy.BodyRelay;
 import loadbalancer.proxy.FileDescriptorBudget;
+import loadbalancer.proxy.PeerMemory;
 
 /**
  * The HTTP server for clients: accepts connections, submits their requests to the dispatcher and
@@ -39,7 +39,7 @@
      *
      * @param closeLongestIdleUpstream closes an idle connection to an upstream to free its
      *     descriptor; returns false if there is none
-     * @param bufferBudget the limit on the bytes that are buffered of all streamed bodies together
+     * @param memory the limit on the memory of all clients and upstreams together
      */
     public HttpFrontend(
             EventLoop loop,
@@ -48,9 +48,9 @@
             FileDescriptorBudget descriptorBudget,
             BooleanSupplier closeLongestIdleUpstream,
             EventLog events,
-            BodyRelay.BufferBudget bufferBudget) {
+            PeerMemory memory) {
         this.loop = loop;
-        this.listener = new ClientListener(loop, this::onAccepted);
+        this.listener = new ClientListener(loop, memory, this::onAccepted);
         this.connections =
                 new ClientConnections(
                         loop, servingState, listener, descriptorBudget, closeLongestIdleUpstream);
@@ -58,13 +58,7 @@
                 new RequestProcessor(new ProxyRequestParser(boot), dispatcher, servingState);
         this.context =
                 new FrontendContext(
-                        loop,
-                        servingState,
-                        connections,
-                        requestProcessor,
-                        events,
-                        bufferBudget,
-                        RequestMemoryBudget.forHeap(Runtime.getRuntime().maxMemory()));
+                        loop, servingState, connections, requestProcessor, events, memory);
     }
 
     private void onAccepted(Channel channel) {
@@ -181,9 +175,4 @@
     public String toString() {
         return connections.toString();
     }
-
-    /** Returns the memory in use, for the log. */
-    public String memorySummary() {
-        return context.requestMemory().toString();
-    }
 }
--- a/balancer/src/main/java/loadbalancer/http/RequestProcessor.java
+++ b/balancer/src/main/java/loadbalancer/http/RequestProcessor.java
@@ -119,7 +119,8 @@
         }
         connection.onValidRequest(request);
         ClientResponseSender responseSender =
-                new ClientResponseSender(connection, HttpUtil.isKeepAlive(request));
+                new ClientResponseSender(
+                        connection, HttpUtil.isKeepAlive(request), connection.currentMemory());
         RequestHandle handle = submit(request.uri(), proxyRequest, responseSender);
         if (!responseSender.hasResponded()) {
             connection.setRequestHandle(handle);
--- a/balancer/src/main/java/loadbalancer/http/RequestReader.java
+++ b/balancer/src/main/java/loadbalancer/http/RequestReader.java
@@ -18,6 +18,9 @@
 import io.netty.handler.codec.http.HttpVersion;
 import io.netty.handler.codec.http.LastHttpContent;
 import loadbalancer.proxy.BodyRelay;
+import loadbalancer.proxy.ByteSizes;
+import loadbalancer.proxy.MemoryReservation;
+import loadbalancer.proxy.PeerMemory;
 
 /**
  * Reads the requests of one client connection. Buffers short requests until they are complete and
@@ -47,14 +50,14 @@
 
     private final ClientConnection connection;
     private final Channel channel;
-    private final BodyRelay.BufferBudget bufferBudget;
-    private final RequestMemoryBudget requestMemory;
+    private final PeerMemory peerMemory;
+    private final ClientConnections connections;
     // The head of the request that is being received; null between requests.
     private HttpRequest requestHead;
     // The memory of the request that is being received; null between requests and once the request
     // has been passed on.
-    private RequestMemoryBudget.Reservation memory;
-    // The estimated memory of the request's head in bytes; 0 unless the request is pipelined.
+    private MemoryReservation memory;
+    // The estimated memory of the request's head in bytes.
     private int headBytes;
     // Null if there is no body, and once the body is streamed.
     private ByteBuf bufferedBody;
@@ -67,8 +70,8 @@
     RequestReader(ClientConnection connection, Channel channel, FrontendContext context) {
         this.connection = connection;
         this.channel = channel;
-        this.bufferBudget = context.bufferBudget();
-        this.requestMemory = context.requestMemory();
+        this.peerMemory = context.memory();
+        this.connections = context.connections();
     }
 
     /** Returns the number of bytes received of the current request's body. */
@@ -81,6 +84,11 @@
         return requestHead == null ? null : requestHead.headers().get("Req-Id");
     }
 
+    /** Returns the bytes that are reserved for the request that is being received. */
+    int incompleteRequestBytes() {
+        return memory == null ? 0 : memory.bytes();
+    }
+
     boolean hasUpload() {
         return upload != null;
     }
@@ -125,17 +133,16 @@
     private void onRequestHead(HttpRequest request) {
         requestHead = request;
         bodyBytes = 0;
-        boolean pipelined = connection.isRequestInProgress();
-        memory = requestMemory.newReservation(pipelined);
-        headBytes = pipelined ? BufferedRequest.headBytes(request) : 0;
+        memory = new MemoryReservation(peerMemory, connection.isRequestInProgress());
+        headBytes = BufferedRequest.headBytes(request);
         connection.requestTimeout().onRequestHead();
-        if (!request.decoderResult().isSuccess()) {
+        if (!reserve(headBytes)) {
+            abortAndRefuse();
+        } else if (!request.decoderResult().isSuccess()) {
             // Treated as complete, so that it is rejected: nothing after it can be decoded.
             onRequestComplete();
         } else if (HttpUtil.getContentLength(request, 0L) > MAX_BODY_BYTES) {
             abortAndReject(HttpResponseStatus.REQUEST_ENTITY_TOO_LARGE);
-        } else if (!memory.growTo(headBytes)) {
-            abortAndRefuse();
         } else if (!connection.isRequestInProgress() && HttpUtil.is100ContinueExpected(request)) {
             channel.writeAndFlush(
                     new DefaultFullHttpResponse(
@@ -161,7 +168,7 @@
         if (upload == null && bodyBytes > MAX_BUFFERED_BODY_BYTES) {
             startUpload();
         }
-        if (upload == null && !memory.growTo(headBytes + bufferCapacity((int) bodyBytes))) {
+        if (upload == null && !reserve(headBytes + ByteSizes.nextPowerOfTwo((int) bodyBytes))) {
             abortAndRefuse();
             return;
         }
@@ -178,9 +185,10 @@
         }
     }
 
-    // Buffers grow to the next power of two.
-    private static int bufferCapacity(int bytes) {
-        return bytes <= 1 ? bytes : Integer.highestOneBit(bytes - 1) << 1;
+    // Stalled clients are dropped first, so that they can't keep others from being served.
+    private boolean reserve(int neededBytes) {
+        return memory.growTo(neededBytes)
+                || (connections.evictStalledHolders(connection) && memory.growTo(neededBytes));
     }
 
     private void addToBuffer(ByteBuf content) {
@@ -217,8 +225,8 @@
         connection.onRequestReceived(new BufferedRequest(request, takeMemory()));
     }
 
-    private RequestMemoryBudget.Reservation takeMemory() {
-        RequestMemoryBudget.Reservation taken = memory;
+    private MemoryReservation takeMemory() {
+        MemoryReservation taken = memory;
         memory = null;
         return taken;
     }
@@ -260,7 +268,8 @@
         }
     }
 
-    private void discardPartialRequest() {
+    /** Releases what has been received of a request that will not be processed. */
+    void discardPartialRequest() {
         requestHead = null;
         if (bufferedBody != null) {
             bufferedBody.release();
@@ -272,12 +281,13 @@
     }
 
     private void startUpload() {
-        upload = new BodyRelay(channel, bufferBudget, true, () -> {});
+        upload = new BodyRelay(channel, peerMemory.streamed(), true, () -> {});
         uploadState = UploadState.WAITING;
         if (bufferedBody != null) {
             upload.add(bufferedBody);
             bufferedBody = null;
         }
+        memory.resizeTo(headBytes);
         if (!connection.isRequestInProgress()) {
             forwardUpload();
         }
--- a/balancer/src/main/java/loadbalancer/http/RequestTimeoutHandler.java
+++ b/balancer/src/main/java/loadbalancer/http/RequestTimeoutHandler.java
@@ -41,6 +41,7 @@
         }
         connection.onBytesReceived();
         context.fireChannelRead(message);
+        connection.onBytesDecoded();
     }
 
     /** Starts the timeout, unless it is already running. */
--- a/balancer/src/main/java/loadbalancer/proxy/BodyRelay.java
+++ b/balancer/src/main/java/loadbalancer/proxy/BodyRelay.java
@@ -1,6 +1,7 @@
 package loadbalancer.proxy;
 
 import io.netty.buffer.ByteBuf;
+import io.netty.buffer.Unpooled;
 import io.netty.channel.Channel;
 import io.netty.channel.nio.AbstractNioChannel;
 import io.netty.handler.codec.http.DefaultHttpContent;
@@ -24,6 +25,12 @@
 
     private static final long STALL_CHECK_INTERVAL_MS = 1_000;
 
+    /** Parts from this size on are not copied. */
+    private static final int MAX_COPIED_PART_BYTES = 8 * 1024;
+
+    /** The size of the buffers into which smaller parts are copied. */
+    private static final int COLLECTION_BYTES = 8 * 1024;
+
     /** Added to the size of each buffered part. */
     private static final int PART_OVERHEAD_BYTES = 128;
 
@@ -33,19 +40,6 @@
     /** The number of buffered bytes from which on a paused source is not read. */
     private static final int MAX_DISCONNECT_CHECK_BYTES = 4 * MAX_BUFFERED_BYTES;
 
-    /**
-     * Limits the bytes that all relays of a process buffer together, because the total of many
-     * relays that each buffer little would otherwise be unlimited. Confined to the event loop.
-     */
-    public static final class BufferBudget {
-        private static final long MAX_BYTES = 4 << 20;
-        private long usedBytes;
-
-        private boolean isExhausted() {
-            return usedBytes >= MAX_BYTES;
-        }
-    }
-
     /** Receives one call when the relay ends, or none if the sink has discarded the body. */
     public interface Listener {
         /** Handles the end of the body, which has been written to the sink completely. */
@@ -56,9 +50,11 @@
     }
 
     private final Channel source;
-    private final BufferBudget bufferBudget;
+    private final MemoryBudget memory;
     private final Runnable onDiscarded;
     private final ArrayDeque<ByteBuf> pendingParts = new ArrayDeque<>();
+    // The buffer into which small parts are copied; null unless it is the last pending part.
+    private ByteBuf collectedParts;
     private final Future<?> stallCheck;
     // Null if an early end of the source need not be detected.
     private final Future<?> disconnectCheck;
@@ -81,17 +77,16 @@
     /**
      * Creates a relay without a sink and starts its timers.
      *
+     * @param memory the limit on the bytes that all relays of a process buffer together, because
+     *     the total of many relays that each buffer little would otherwise be unlimited
      * @param detectDisconnect whether to detect the end of the source's input while reading is
      *     paused
      * @param onDiscarded runs once if the sink discards the body before its end
      */
     public BodyRelay(
-            Channel source,
-            BufferBudget bufferBudget,
-            boolean detectDisconnect,
-            Runnable onDiscarded) {
+            Channel source, MemoryBudget memory, boolean detectDisconnect, Runnable onDiscarded) {
         this.source = source;
-        this.bufferBudget = bufferBudget;
+        this.memory = memory;
         this.onDiscarded = onDiscarded;
         stallCheck = schedule(this::checkForStall, STALL_CHECK_INTERVAL_MS);
         disconnectCheck =
@@ -111,7 +106,7 @@
                 && !sourceEnded
                 && isSourcePaused()
                 && bufferedBytes < MAX_DISCONNECT_CHECK_BYTES
-                && !bufferBudget.isExhausted()) {
+                && !memory.isExhausted()) {
             source.read();
         }
     }
@@ -150,9 +145,34 @@
         writePending();
     }
 
+    // A small part is a slice of a larger buffer, which it would retain, so it is copied behind the
+    // previous one.
     private void addPending(ByteBuf part) {
+        if (part.readableBytes() >= MAX_COPIED_PART_BYTES) {
+            collectedParts = null;
+            appendPart(part);
+            return;
+        }
+        if (collectedParts == null || !collectedParts.isWritable(part.readableBytes())) {
+            collectedParts = Unpooled.buffer(collectionBytes(part), COLLECTION_BYTES);
+            appendPart(collectedParts);
+        }
+        collectedParts.writeBytes(part);
+        part.release();
+    }
+
+    // Collects only while parts wait, so that a part that is written at once takes its own size.
+    private int collectionBytes(ByteBuf part) {
+        return pendingParts.isEmpty() ? part.readableBytes() : COLLECTION_BYTES;
+    }
+
+    private void appendPart(ByteBuf part) {
         pendingParts.add(part);
-        adjustBufferedBytes(part.readableBytes() + PART_OVERHEAD_BYTES);
+        adjustBufferedBytes(sizeOf(part));
+    }
+
+    private static int sizeOf(ByteBuf part) {
+        return part.capacity() + PART_OVERHEAD_BYTES;
     }
 
     /** Ends the body; what the source sends next belongs to another message. */
@@ -262,7 +282,10 @@
         boolean needsFlush = false;
         while (!finished && !pendingParts.isEmpty() && sink.isWritable()) {
             ByteBuf part = pendingParts.poll();
-            int sizeBytes = part.readableBytes() + PART_OVERHEAD_BYTES;
+            if (pendingParts.isEmpty()) {
+                collectedParts = null;
+            }
+            int sizeBytes = sizeOf(part);
             sink.write(new DefaultHttpContent(part))
                     .addListener(done -> onPartWritten(sizeBytes, done.isSuccess()));
             needsFlush = true;
@@ -314,23 +337,24 @@
                     sink == null
                             ? bufferedBytes < MAX_BUFFERED_BYTES
                             : pendingParts.isEmpty() && sink.isWritable();
-            boolean withinBudget = bufferedBytes == 0 || !bufferBudget.isExhausted();
+            boolean withinBudget = bufferedBytes == 0 || !memory.isExhausted();
             source.config().setAutoRead(hasCapacity && withinBudget);
         }
     }
 
     private void adjustBufferedBytes(int deltaBytes) {
         bufferedBytes += deltaBytes;
-        bufferBudget.usedBytes += deltaBytes;
+        memory.reserve(deltaBytes);
     }
 
     // The only method that cancels the timers and releases the buffers that were not written.
     private void finish() {
         finished = true;
+        collectedParts = null;
         stallCheck.cancel(false);
         cancelDisconnectCheck();
         for (ByteBuf part = pendingParts.poll(); part != null; part = pendingParts.poll()) {
-            adjustBufferedBytes(-part.readableBytes() - PART_OVERHEAD_BYTES);
+            adjustBufferedBytes(-sizeOf(part));
             part.release();
         }
     }
--- a/balancer/src/main/java/loadbalancer/proxy/StrictFraming.java
+++ b/balancer/src/main/java/loadbalancer/proxy/StrictFraming.java
@@ -1,5 +1,7 @@
 package loadbalancer.proxy;
 
+import io.netty.buffer.ByteBuf;
+import io.netty.channel.ChannelHandlerContext;
 import io.netty.handler.codec.http.HttpHeaderNames;
 import io.netty.handler.codec.http.HttpHeaderValues;
 import io.netty.handler.codec.http.HttpHeaders;
@@ -24,11 +26,39 @@
 
     /** Decodes clients' requests. */
     public static final class RequestDecoder extends HttpRequestDecoder {
+        private final HeadMemoryMeter meter = new HeadMemoryMeter();
+
         /** Returns whether received bytes remain that are not decoded yet. */
         public boolean hasUndecodedBytes() {
             return actualReadableBytes() > 0;
         }
 
+        /** Returns the estimated heap in bytes that this decoder retains of what it received. */
+        public int retainedBytes() {
+            return meter.retainedBytes(internalBuffer());
+        }
+
+        @Override
+        protected void decode(ChannelHandlerContext context, ByteBuf input, List<Object> output)
+                throws Exception {
+            int bytesBefore = input.readableBytes();
+            super.decode(context, input, output);
+            meter.onConsumed(bytesBefore - input.readableBytes());
+            completeHead(meter, output);
+        }
+
+        @Override
+        protected HttpMessage createMessage(String[] startLine) throws Exception {
+            meter.onStartLine();
+            return super.createMessage(startLine);
+        }
+
+        @Override
+        protected AsciiString splitHeaderName(byte[] line, int start, int length) {
+            meter.onField(line);
+            return super.splitHeaderName(line, start, length);
+        }
+
         // Called when the headers are complete, before Netty removes any of them.
         @Override
         protected boolean isContentAlwaysEmpty(HttpMessage message) {
@@ -39,11 +69,33 @@
 
     /** Decodes upstreams' responses. */
     public static final class ResponseDecoder extends HttpResponseDecoder {
+        private final HeadMemoryMeter meter = new HeadMemoryMeter();
+
         /** Returns whether received bytes remain that are not decoded yet. */
         public boolean hasUndecodedBytes() {
             return actualReadableBytes() > 0;
         }
 
+        /** Returns the estimated heap in bytes that this decoder retains of what it received. */
+        public int retainedBytes() {
+            return meter.retainedBytes(internalBuffer());
+        }
+
+        @Override
+        protected void decode(ChannelHandlerContext context, ByteBuf input, List<Object> output)
+                throws Exception {
+            int bytesBefore = input.readableBytes();
+            super.decode(context, input, output);
+            meter.onConsumed(bytesBefore - input.readableBytes());
+            completeHead(meter, output);
+        }
+
+        @Override
+        protected HttpMessage createMessage(String[] startLine) {
+            meter.onStartLine();
+            return super.createMessage(startLine);
+        }
+
         @Override
         protected boolean isContentAlwaysEmpty(HttpMessage message) {
             validateFraming(message);
@@ -59,10 +111,18 @@
             if (line[start + length] != ':') {
                 throw new FramingException("no colon after a header's name");
             }
+            meter.onField(line);
             return super.splitHeaderName(line, start, length);
         }
     }
 
+    // A head is complete when it has been put out, and trailers with the last content.
+    private static void completeHead(HeadMemoryMeter meter, List<Object> output) {
+        if (!output.isEmpty()) {
+            meter.onComplete();
+        }
+    }
+
     private static void validateFraming(HttpMessage message) {
         HttpHeaders headers = message.headers();
         HttpVersion version = message.protocolVersion();
--- a/balancer/src/main/java/loadbalancer/server/BalancerServer.java
+++ b/balancer/src/main/java/loadbalancer/server/BalancerServer.java
@@ -26,8 +26,8 @@
 import loadbalancer.discovery.EndpointListListener;
 import loadbalancer.dispatch.Dispatcher;
 import loadbalancer.http.HttpFrontend;
-import loadbalancer.proxy.BodyRelay;
 import loadbalancer.proxy.FileDescriptorBudget;
+import loadbalancer.proxy.PeerMemory;
 import loadbalancer.recovery.RecoveryStore;
 import loadbalancer.routing.api.EndpointListKind;
 import loadbalancer.routing.api.EndpointStatus;
@@ -69,6 +69,7 @@
     private final BalancerConfig config;
     private final FileDescriptorBudget descriptorBudget;
     private final Metrics metrics;
+    private final PeerMemory memory;
     // Empty if no administration address is set.
     private final Optional<AdminServer> adminServer;
     private final CountDownLatch stopped = new CountDownLatch(1);
@@ -103,8 +104,8 @@
         events = new EventLog(log, System::nanoTime);
         metrics = new Metrics(config.boot().classNames());
         dispatcher = new Dispatcher(loop, config.boot(), policy, log, events, metrics);
-        BodyRelay.BufferBudget bufferBudget = new BodyRelay.BufferBudget();
-        upstreamPool = newUpstreamPool(bufferBudget);
+        memory = PeerMemory.forHeap(Runtime.getRuntime().maxMemory());
+        upstreamPool = newUpstreamPool();
         recoveryStore = openRecoveryStore(config, log);
         knownEndpoints =
                 recoveryStore
@@ -118,7 +119,7 @@
                         knownEndpoints.revision(),
                         new DiscoveryListener(),
                         log);
-        frontend = newFrontend(bufferBudget);
+        frontend = newFrontend();
         peers = new PeerTransport(loop, config.peers(), new PeerMessageRouter(), events);
         cluster = ClusterCoordinator.createIfEnabled(loop, config, recoveryStore, peers::send, log);
         dispatcher.attach(upstreamPool, discovery, peers);
@@ -126,7 +127,7 @@
                 config.adminAddress().map(address -> new AdminServer(new EventLoopAdminHandler()));
     }
 
-    private UpstreamPool newUpstreamPool(BodyRelay.BufferBudget bufferBudget) {
+    private UpstreamPool newUpstreamPool() {
         return new UpstreamPool(
                 loop,
                 config.boot(),
@@ -134,10 +135,10 @@
                 dispatcher::nowMicros,
                 events,
                 metrics,
-                bufferBudget);
+                memory);
     }
 
-    private HttpFrontend newFrontend(BodyRelay.BufferBudget bufferBudget) {
+    private HttpFrontend newFrontend() {
         return new HttpFrontend(
                 loop,
                 config.boot(),
@@ -145,7 +146,7 @@
                 descriptorBudget,
                 upstreamPool::closeLongestIdle,
                 events,
-                bufferBudget);
+                memory);
     }
 
     private static Optional<RecoveryStore> openRecoveryStore(
@@ -305,7 +306,7 @@
                 + ", "
                 + upstreamPool
                 + ", "
-                + frontend.memorySummary();
+                + memory;
     }
 
     // Called after the routing policy has received an endpoint list. Starts the periodic snapshots.
@@ -340,6 +341,7 @@
                         loop,
                         config,
                         inProcessAddress,
+                        memory,
                         dispatcher::acceptedRequestCount,
                         () -> !listenerShared && dispatcher.isInService(),
                         this::onWarmUpFinished);
--- a/balancer/src/main/java/loadbalancer/server/WarmUp.java
+++ b/balancer/src/main/java/loadbalancer/server/WarmUp.java
@@ -20,8 +20,8 @@
 import loadbalancer.config.EndpointList;
 import loadbalancer.dispatch.Dispatcher;
 import loadbalancer.http.WarmUpTraffic;
-import loadbalancer.proxy.BodyRelay;
 import loadbalancer.proxy.FileDescriptorBudget;
+import loadbalancer.proxy.PeerMemory;
 import loadbalancer.proxy.ProxyRequest;
 import loadbalancer.routing.RoutingEngine;
 import loadbalancer.routing.api.Endpoint;
@@ -82,6 +82,7 @@
             EventLoop loop,
             BalancerConfig config,
             Optional<LocalAddress> inProcessAddress,
+            PeerMemory memory,
             LongSupplier clientRequestCount,
             BooleanSupplier clientsWaiting,
             Runnable onFinished) {
@@ -96,7 +97,6 @@
         dispatcher = new Dispatcher(loop, boot, policy, line -> {}, silentEvents, metrics);
         FileDescriptorBudget descriptorBudget =
                 new FileDescriptorBudget(config.maxSockets(), false);
-        BodyRelay.BufferBudget bufferBudget = new BodyRelay.BufferBudget();
         Supplier<UpstreamPool> newPool =
                 () ->
                         new UpstreamPool(
@@ -106,7 +106,7 @@
                                 dispatcher::nowMicros,
                                 silentEvents,
                                 metrics,
-                                bufferBudget,
+                                memory,
                                 inProcessAddress.orElse(null));
         upstreamPool = newPool.get();
         clientPool = newPool.get();
--- a/balancer/src/main/java/loadbalancer/upstream/PoolContext.java
+++ b/balancer/src/main/java/loadbalancer/upstream/PoolContext.java
@@ -4,8 +4,8 @@
 import java.util.function.LongSupplier;
 import loadbalancer.admin.EventLog;
 import loadbalancer.admin.Metrics;
-import loadbalancer.proxy.BodyRelay;
 import loadbalancer.proxy.FileDescriptorBudget;
+import loadbalancer.proxy.PeerMemory;
 
 /**
  * Holds what the connections of one pool share: services, limits and the number of open
@@ -17,7 +17,7 @@
     private final EventLog events;
     private final Metrics metrics;
     private final FileDescriptorBudget descriptorBudget;
-    private final BodyRelay.BufferBudget bufferBudget;
+    private final PeerMemory memory;
     private final long maxIdleMicros;
     private int openConnections;
 
@@ -27,14 +27,14 @@
             EventLog events,
             Metrics metrics,
             FileDescriptorBudget descriptorBudget,
-            BodyRelay.BufferBudget bufferBudget,
+            PeerMemory memory,
             long maxIdleMicros) {
         this.loop = loop;
         this.clockMicros = clockMicros;
         this.events = events;
         this.metrics = metrics;
         this.descriptorBudget = descriptorBudget;
-        this.bufferBudget = bufferBudget;
+        this.memory = memory;
         this.maxIdleMicros = maxIdleMicros;
     }
 
@@ -54,8 +54,8 @@
         return metrics;
     }
 
-    BodyRelay.BufferBudget bufferBudget() {
-        return bufferBudget;
+    PeerMemory memory() {
+        return memory;
     }
 
     /**
--- a/balancer/src/main/java/loadbalancer/upstream/ResponseReader.java
+++ b/balancer/src/main/java/loadbalancer/upstream/ResponseReader.java
@@ -18,6 +18,9 @@
 import java.util.concurrent.Future;
 import java.util.concurrent.TimeUnit;
 import loadbalancer.proxy.BodyRelay;
+import loadbalancer.proxy.ByteSizes;
+import loadbalancer.proxy.MemoryReservation;
+import loadbalancer.proxy.PeerMemory;
 import loadbalancer.proxy.StrictFraming;
 import loadbalancer.routing.api.AttemptOutcome;
 import loadbalancer.routing.api.LoadReport;
@@ -43,6 +46,10 @@
     private final UpstreamConnection connection;
     private final StrictFraming.ResponseDecoder decoder = new StrictFraming.ResponseDecoder();
 
+    // The memory of the head and the buffered body.
+    private final MemoryReservation responseMemory;
+    // The memory that the decoder retains of an incomplete head.
+    private final MemoryReservation decoderMemory;
     // Null between responses.
     private HttpResponse responseHead;
     // The body received so far while it is buffered, or null.
@@ -59,6 +66,8 @@
     private boolean hasExtraResponses;
 
     ResponseReader(PoolContext pool, UpstreamConnection connection) {
+        this.responseMemory = new MemoryReservation(pool.memory(), false);
+        this.decoderMemory = new MemoryReservation(pool.memory(), false);
         this.pool = pool;
         this.connection = connection;
     }
@@ -80,8 +89,7 @@
             hasExtraResponses = true;
         } else {
             if (message instanceof HttpResponse head) {
-                responseHead = head;
-                connection.onResponseHead();
+                onHead(head);
             }
             if (message instanceof HttpContent content && responseHead != null) {
                 onContent(content);
@@ -89,6 +97,14 @@
         }
     }
 
+    private void onHead(HttpResponse head) {
+        responseHead = head;
+        connection.onResponseHead();
+        if (!responseMemory.resizeTo(PeerMemory.headBytes(head.headers()))) {
+            connection.failMalformed("no memory left for its head");
+        }
+    }
+
     private void onContent(HttpContent content) {
         boolean isLast = content instanceof LastHttpContent;
         if (responseHead.status().codeClass() == HttpStatusClass.INFORMATIONAL) {
@@ -126,7 +142,7 @@
 
     private void bufferOrStartStreaming(ByteBuf part) {
         int bufferedBytes = bufferedBody.readableBytes() + part.readableBytes();
-        if (bufferedBytes <= MAX_BUFFERED_RESPONSE_BYTES) {
+        if (bufferedBytes <= MAX_BUFFERED_RESPONSE_BYTES && reserveBody(bufferedBytes)) {
             bufferedBody.writeBytes(part);
             if (contentLength() > MAX_BUFFERED_RESPONSE_BYTES) {
                 startStreaming();
@@ -139,6 +155,12 @@
         }
     }
 
+    // A body that does not fit into the memory is streamed, or dropped if only the head is used.
+    private boolean reserveBody(int bufferedBytes) {
+        int headBytes = PeerMemory.headBytes(responseHead.headers());
+        return responseMemory.growTo(headBytes + ByteSizes.nextPowerOfTwo(bufferedBytes));
+    }
+
     private void completeBufferedResponse() {
         cancelBufferingTimeout();
         completeResponse =
@@ -180,8 +202,10 @@
             return;
         }
         bufferedBody = null;
+        responseMemory.resizeTo(PeerMemory.headBytes(responseHead.headers()));
         download =
-                new BodyRelay(connection.channel(), pool.bufferBudget(), false, connection::close);
+                new BodyRelay(
+                        connection.channel(), pool.memory().streamed(), false, connection::close);
         download.add(initialBody);
         request.onResponseStarted(
                 responseHead,
@@ -196,6 +220,9 @@
     @Override
     public void channelReadComplete(ChannelHandlerContext context) {
         FullHttpResponse response = completeResponse;
+        if (!decoderMemory.resizeTo(decoder.retainedBytes())) {
+            connection.failMalformed("no memory left for its head");
+        }
         if (streamCompleted && !connection.isBroken()) {
             onStreamComplete();
         }
@@ -214,6 +241,7 @@
             }
         } finally {
             response.release();
+            responseMemory.resizeTo(0);
         }
     }
 
@@ -283,6 +311,9 @@
         responseHead = null;
         download = null;
         streamCompleted = false;
+        if (completeResponse == null) {
+            responseMemory.resizeTo(0);
+        }
     }
 
     @Override
@@ -300,6 +331,7 @@
             completeResponse.release();
             completeResponse = null;
         }
+        decoderMemory.release();
         BodyRelay abortedDownload = download;
         UpstreamRequest request = connection.request();
         BodyRelay unsentUpload = request == null ? null : request.upload();
--- a/balancer/src/main/java/loadbalancer/upstream/UpstreamConnector.java
+++ b/balancer/src/main/java/loadbalancer/upstream/UpstreamConnector.java
@@ -1,19 +1,20 @@
 package loadbalancer.upstream;
 
 import io.netty.bootstrap.Bootstrap;
-import io.netty.channel.AdaptiveRecvByteBufAllocator;
+import io.netty.buffer.ByteBufAllocator;
+import io.netty.buffer.UnpooledByteBufAllocator;
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelInitializer;
 import io.netty.channel.ChannelOption;
 import io.netty.channel.local.LocalChannel;
 import io.netty.handler.codec.http.HttpRequestEncoder;
 import java.net.SocketAddress;
+import loadbalancer.proxy.PeerReadAllocator;
 
 /** Opens connections to endpoints and sets up their pipelines. Event loop thread only. */
 final class UpstreamConnector {
-    private static final int MIN_READ_BYTES = 64;
-    private static final int INITIAL_READ_BYTES = 2048;
-    private static final int MAX_READ_BYTES = 32 * 1024;
+    private static final int MAX_READS_PER_LOOP = 16;
+    private static final ByteBufAllocator HEAP_ALLOCATOR = new UnpooledByteBufAllocator(false);
 
     private final PoolContext context;
     private final Bootstrap bootstrap;
@@ -32,10 +33,10 @@
         this.bootstrap =
                 new Bootstrap()
                         .group(context.loop())
+                        .option(ChannelOption.ALLOCATOR, HEAP_ALLOCATOR)
                         .option(
                                 ChannelOption.RCVBUF_ALLOCATOR,
-                                new AdaptiveRecvByteBufAllocator(
-                                        MIN_READ_BYTES, INITIAL_READ_BYTES, MAX_READ_BYTES))
+                                new PeerReadAllocator(context.memory(), MAX_READS_PER_LOOP, false))
                         .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, connectTimeoutMillis);
         if (inProcessAddress == null) {
             bootstrap
--- a/balancer/src/main/java/loadbalancer/upstream/UpstreamPool.java
+++ b/balancer/src/main/java/loadbalancer/upstream/UpstreamPool.java
@@ -11,8 +11,8 @@
 import loadbalancer.admin.Metrics;
 import loadbalancer.config.BootSettings;
 import loadbalancer.config.EndpointList;
-import loadbalancer.proxy.BodyRelay;
 import loadbalancer.proxy.FileDescriptorBudget;
+import loadbalancer.proxy.PeerMemory;
 import loadbalancer.proxy.ProxyRequest;
 import loadbalancer.routing.api.AttemptOutcome;
 import loadbalancer.routing.api.EndpointStatus;
@@ -43,8 +43,8 @@
             LongSupplier clockMicros,
             EventLog events,
             Metrics metrics,
-            BodyRelay.BufferBudget bufferBudget) {
-        this(loop, boot, descriptorBudget, clockMicros, events, metrics, bufferBudget, null);
+            PeerMemory memory) {
+        this(loop, boot, descriptorBudget, clockMicros, events, metrics, memory, null);
     }
 
     /**
@@ -60,7 +60,7 @@
             LongSupplier clockMicros,
             EventLog events,
             Metrics metrics,
-            BodyRelay.BufferBudget bufferBudget,
+            PeerMemory memory,
             LocalAddress inProcessAddress) {
         this.boot = boot;
         this.context =
@@ -70,7 +70,7 @@
                         events,
                         metrics,
                         descriptorBudget,
-                        bufferBudget,
+                        memory,
                         maxIdleMicros(boot));
         this.connector = new UpstreamConnector(context, connectTimeoutMs(), inProcessAddress);
         this.evictor = new IdleConnectionEvictor(context, endpointPools.values());
--- a/balancer/src/test/java/loadbalancer/dispatch/FinalResponsesTest.java
+++ b/balancer/src/test/java/loadbalancer/dispatch/FinalResponsesTest.java
@@ -19,6 +19,7 @@
 import loadbalancer.config.SettingsFlattener;
 import loadbalancer.config.SettingsReader;
 import loadbalancer.proxy.BodyRelay;
+import loadbalancer.proxy.MemoryBudget;
 import loadbalancer.proxy.ProxyRequestFixtures;
 import loadbalancer.server.BalancerServerFixtures;
 import org.junit.jupiter.api.AfterEach;
@@ -69,7 +70,7 @@
 
     private void startStream() {
         ExchangeAttempt attempt = exchange.addAttempt("s1", 0);
-        BodyRelay body = new BodyRelay(channel, new BodyRelay.BufferBudget(), false, () -> {});
+        BodyRelay body = new BodyRelay(channel, new MemoryBudget(1_000_000), false, () -> {});
         responses.stream(attempt, null, -1, body);
     }
 
--- a/balancer/src/test/java/loadbalancer/dispatch/RecordingResponseSender.java
+++ b/balancer/src/test/java/loadbalancer/dispatch/RecordingResponseSender.java
@@ -15,12 +15,18 @@
     private Runnable onConnectionCheck = () -> {};
     private boolean connected = true;
     private Consumer<Boolean> onStreamFinished;
+    private int finishedCount;
 
     /** Returns the final responses in the order of the calls. */
     List<String> responses() {
         return responses;
     }
 
+    /** Returns how often the request was reported as finished. */
+    int finishedCount() {
+        return finishedCount;
+    }
+
     /** Simulates a disconnect of the client. */
     void disconnect() {
         connected = false;
@@ -62,6 +68,11 @@
         responses.add("rejection " + retryAfterMicros);
     }
 
+    @Override
+    public void onRequestFinished() {
+        finishedCount++;
+    }
+
     @Override
     public void fail() {
         responses.add("failure");
--- a/balancer/src/test/java/loadbalancer/dispatch/RequestTableTest.java
+++ b/balancer/src/test/java/loadbalancer/dispatch/RequestTableTest.java
@@ -67,6 +67,20 @@
         assertNull(requests.find(exchange.id()));
     }
 
+    @Test
+    void senderIsToldOnceThatItsRequestIsNoLongerRetained() {
+        Exchange exchange = addRequest(0);
+        RecordingResponseSender sender = (RecordingResponseSender) exchange.responseSender();
+        ExchangeAttempt attempt = exchange.addAttempt("s1", 0);
+        exchange.settle();
+        requests.removeIfFinished(exchange);
+        assertEquals(0, sender.finishedCount());
+        attempt.end();
+        requests.removeIfFinished(exchange);
+        requests.removeIfFinished(exchange);
+        assertEquals(1, sender.finishedCount());
+    }
+
     @Test
     void idleCallbackRunsAtOnceIfNoRequestIsPending() {
         AtomicInteger calls = new AtomicInteger();
--- a/balancer/src/test/java/loadbalancer/http/EmbeddedFrontend.java
+++ b/balancer/src/test/java/loadbalancer/http/EmbeddedFrontend.java
@@ -17,8 +17,8 @@
 import loadbalancer.config.SettingsReader;
 import loadbalancer.dispatch.Dispatcher;
 import loadbalancer.dispatch.RecordingPolicy;
-import loadbalancer.proxy.BodyRelay;
 import loadbalancer.proxy.FileDescriptorBudget;
+import loadbalancer.proxy.PeerMemory;
 import loadbalancer.server.BalancerServerFixtures;
 
 /**
@@ -30,12 +30,13 @@
     static final String POST_HEAD =
             "POST /k1 HTTP/1.1\r\nReq-Id: r1\r\nReq-Kind: book\r\nReq-Deadline-Ms: 20000\r\n";
 
-    /** The limit on the memory of buffered requests. */
-    static final int MAX_REQUEST_MEMORY_BYTES = 1024 * 1024;
+    /** The limit on the memory of all clients. */
+    static final int MAX_MEMORY_BYTES = 1024 * 1024;
 
     /** The limit on the memory of pipelined requests. */
     static final int MAX_PIPELINED_MEMORY_BYTES = 512 * 1024;
 
+    private static final int MAX_STREAMED_MEMORY_BYTES = 256 * 1024;
     private static final int DEFAULT_DESCRIPTOR_LIMIT = 1_000;
 
     private final EmbeddedChannel loopChannel = new EmbeddedChannel();
@@ -46,6 +47,8 @@
     private final ServingState servingState = new ServingState();
     private final FileDescriptorBudget descriptorBudget;
     private final ClientConnections connections;
+    private final PeerMemory memory =
+            PeerMemory.of(MAX_MEMORY_BYTES, MAX_PIPELINED_MEMORY_BYTES, MAX_STREAMED_MEMORY_BYTES);
     private final FrontendContext context;
     // The number of idle upstream connections, which may be closed to free their descriptors.
     private int idleUpstreams;
@@ -82,9 +85,7 @@
                         new RequestProcessor(
                                 new ProxyRequestParser(boot), dispatcher, servingState),
                         events,
-                        new BodyRelay.BufferBudget(),
-                        new RequestMemoryBudget(
-                                MAX_REQUEST_MEMORY_BYTES, MAX_PIPELINED_MEMORY_BYTES));
+                        memory);
         servingState.setReady();
     }
 
@@ -101,7 +102,7 @@
     }
 
     private ClientListener unboundListener() {
-        ClientListener listener = new ClientListener(listenerGroup.next(), channel -> {});
+        ClientListener listener = new ClientListener(listenerGroup.next(), memory, channel -> {});
         try {
             listener.listen(ServerSocketChannel.open());
         } catch (IOException e) {
--- a/balancer/src/test/java/loadbalancer/http/ProxyRequestParserTest.java
+++ b/balancer/src/test/java/loadbalancer/http/ProxyRequestParserTest.java
@@ -16,6 +16,7 @@
 import java.util.List;
 import loadbalancer.config.BootSettings;
 import loadbalancer.proxy.BodyRelay;
+import loadbalancer.proxy.MemoryBudget;
 import loadbalancer.proxy.ProxyRequest;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
@@ -225,7 +226,7 @@
     @Test
     void streamedBodyIsKeptWithItsLength() {
         EmbeddedChannel client = new EmbeddedChannel();
-        BodyRelay upload = new BodyRelay(client, new BodyRelay.BufferBudget(), false, () -> {});
+        BodyRelay upload = new BodyRelay(client, new MemoryBudget(1_000_000), false, () -> {});
         ProxyRequest parsed = parser.parse(readRequest("/"), NO_BODY, upload, -1);
         assertSame(upload, parsed.upload());
         assertEquals(-1, parsed.contentLength());
--- a/balancer/src/test/java/loadbalancer/http/ResponseWriterTest.java
+++ b/balancer/src/test/java/loadbalancer/http/ResponseWriterTest.java
@@ -13,6 +13,7 @@
 import java.util.List;
 import java.util.concurrent.TimeUnit;
 import loadbalancer.proxy.BodyRelay;
+import loadbalancer.proxy.MemoryBudget;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
@@ -27,7 +28,7 @@
     private final ClientConnection connection = frontend.connect(channel);
     private final EmbeddedChannel upstream = new EmbeddedChannel();
     private final BodyRelay body =
-            new BodyRelay(upstream, new BodyRelay.BufferBudget(), false, () -> {});
+            new BodyRelay(upstream, new MemoryBudget(1_000_000), false, () -> {});
     private final List<Boolean> finished = new ArrayList<>();
 
     @AfterEach
--- a/balancer/src/test/java/loadbalancer/proxy/BodyRelayTest.java
+++ b/balancer/src/test/java/loadbalancer/proxy/BodyRelayTest.java
@@ -23,7 +23,7 @@
     private final List<String> events = new ArrayList<>();
     private final BodyRelay relay =
             new BodyRelay(
-                    source, new BodyRelay.BufferBudget(), false, () -> events.add("discarded"));
+                    source, new MemoryBudget(1_000_000), false, () -> events.add("discarded"));
 
     private final BodyRelay.Listener listener =
             new BodyRelay.Listener() {
--- a/balancer/src/test/java/loadbalancer/server/PeerMemoryProcessTest.java
+++ b/balancer/src/test/java/loadbalancer/server/PeerMemoryProcessTest.java
@@ -43,6 +43,12 @@
     private static final int PEERS = 400;
     // As many fields of four bytes as fit into the longest head.
     private static final int FIELDS_PER_HEAD = 1_900;
+    private static final int REQUESTS_WITH_WIDE_RESPONSES = 200;
+    private static final int REQUESTS_WITH_LONG_RESPONSES = 100;
+    private static final int LONG_RESPONSE_BYTES = 400_000;
+    // Prefixes of the ids of requests whose responses have a head of many fields, or are long.
+    private static final String WIDE = "wide";
+    private static final String LONG = "long";
     private static final int REQUESTS_BESIDE_PEERS = 20;
     private static final long REQUEST_INTERVAL_MS = 50;
 
@@ -53,7 +59,7 @@
 
     @BeforeEach
     void start() throws IOException {
-        upstream = new AutomaticUpstream();
+        upstream = new AutomaticUpstream(PeerMemoryProcessTest::respond);
         Map<String, Object> config =
                 BalancerServerFixtures.rawConfig(
                         Map.of(
@@ -102,14 +108,65 @@
         assertTrue(balancer.process().isAlive(), "the process has ended");
     }
 
+    /** Heads of responses take as much as those of requests. */
+    @Test
+    void unfinishedResponseHeadsDoNotEndTheProcess() throws Exception {
+        try (HttpTestClientGroup clients = new HttpTestClientGroup(address)) {
+            for (int i = 0; i < REQUESTS_WITH_WIDE_RESPONSES; i++) {
+                clients.connect().send(BalancerServerFixtures.requestWithId(WIDE + i));
+            }
+            assertRequestsAreServed();
+        }
+        assertTrue(balancer.process().isAlive(), "the process has ended");
+    }
+
+    /** Unfinished heads, unfinished bodies, and long responses that are not read. */
+    @Test
+    void hundredsOfSlowPeersOfAllKindsDoNotEndTheProcess() throws Exception {
+        byte[] unfinishedHead = ascii("POST /k1 HTTP/1.1\r\n" + "a:\r\n".repeat(FIELDS_PER_HEAD));
+        byte[] unfinishedBody =
+                ascii(
+                        BalancerServerFixtures.nonIdempotentHead("half")
+                                + "Content-Length: 65536\r\n\r\n"
+                                + "x".repeat(65_000));
+        try (HttpTestClientGroup peers = new HttpTestClientGroup(address)) {
+            for (int i = 0; i < REQUESTS_WITH_LONG_RESPONSES; i++) {
+                peers.connect().send(BalancerServerFixtures.requestWithId(LONG + i));
+            }
+            for (int i = 0; i < PEERS; i++) {
+                byte[] bytes = i % 2 == 0 ? unfinishedHead : unfinishedBody;
+                sendUnlessClosed(peers.connect(), bytes);
+            }
+            assertRequestsAreServed();
+        }
+        assertTrue(balancer.process().isAlive(), "the process has ended");
+    }
+
+    private static void respond(FakeHttpServer.ReceivedRequest request) throws IOException {
+        String requestId = String.valueOf(request.header("Req-Id"));
+        if (requestId.startsWith(WIDE)) {
+            request.sendRaw("HTTP/1.1 200 OK\r\n" + "a:\r\n".repeat(FIELDS_PER_HEAD));
+        } else if (requestId.startsWith(LONG)) {
+            // As much as the buffers between take in without a reader.
+            request.sendRaw("HTTP/1.1 200 OK\r\nContent-Length: 30000000\r\n\r\n");
+            request.sendRaw("x".repeat(LONG_RESPONSE_BYTES));
+        } else {
+            request.respond(200, "", "ok");
+        }
+    }
+
     private void sendFromAll(HttpTestClientGroup peers, byte[] bytes) throws IOException {
         for (int i = 0; i < PEERS; i++) {
-            try {
-                peers.connect().send(bytes);
-            } catch (IOException e) {
-                // The balancer has closed the connection, as it may.
-                assertTrue(balancer.process().isAlive(), "the process has ended");
-            }
+            sendUnlessClosed(peers.connect(), bytes);
+        }
+    }
+
+    private void sendUnlessClosed(HttpTestClient peer, byte[] bytes) {
+        try {
+            peer.send(bytes);
+        } catch (IOException e) {
+            // The balancer has closed the connection, as it may.
+            assertTrue(balancer.process().isAlive(), "the process has ended");
         }
     }
 
--- a/balancer/src/test/java/loadbalancer/server/WarmUpTest.java
+++ b/balancer/src/test/java/loadbalancer/server/WarmUpTest.java
@@ -16,6 +16,7 @@
 import java.util.concurrent.atomic.AtomicLong;
 import loadbalancer.TestAwait;
 import loadbalancer.config.BalancerConfig;
+import loadbalancer.proxy.PeerMemory;
 import org.junit.jupiter.api.Timeout;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
@@ -46,6 +47,8 @@
                                                 eventLoopGroup.next(),
                                                 config,
                                                 Optional.empty(),
+                                                PeerMemory.forHeap(
+                                                        Runtime.getRuntime().maxMemory()),
                                                 () -> clientRequests,
                                                 () -> clientsWaiting,
                                                 () -> {
--- a/balancer/src/test/java/loadbalancer/upstream/EmbeddedUpstream.java
+++ b/balancer/src/test/java/loadbalancer/upstream/EmbeddedUpstream.java
@@ -16,6 +16,7 @@
 import loadbalancer.admin.Metrics;
 import loadbalancer.proxy.BodyRelay;
 import loadbalancer.proxy.FileDescriptorBudget;
+import loadbalancer.proxy.PeerMemory;
 import loadbalancer.proxy.ProxyRequest;
 import loadbalancer.proxy.ProxyRequestFixtures;
 import loadbalancer.routing.api.AttemptOutcome;
@@ -51,7 +52,7 @@
                         events,
                         new Metrics(List.of("read")),
                         new FileDescriptorBudget(1_000, false),
-                        new BodyRelay.BufferBudget(),
+                        PeerMemory.forHeap(Runtime.getRuntime().maxMemory()),
                         maxIdleMicros);
         endpoint = newEndpoint("s1");
     }
--- a/balancer/src/test/java/loadbalancer/upstream/UpstreamConnectionTest.java
+++ b/balancer/src/test/java/loadbalancer/upstream/UpstreamConnectionTest.java
@@ -10,6 +10,7 @@
 import java.util.List;
 import loadbalancer.NestedListeners;
 import loadbalancer.proxy.BodyRelay;
+import loadbalancer.proxy.MemoryBudget;
 import loadbalancer.proxy.ProxyRequestFixtures;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.Test;
@@ -26,7 +27,7 @@
     private final BodyRelay upload =
             new BodyRelay(
                     client,
-                    new BodyRelay.BufferBudget(),
+                    new MemoryBudget(1_000_000),
                     false,
                     () -> uploadEvents.add("discarded"));
 
--- a/balancer/src/test/java/loadbalancer/upstream/UpstreamPoolTest.java
+++ b/balancer/src/test/java/loadbalancer/upstream/UpstreamPoolTest.java
@@ -18,8 +18,8 @@
 import loadbalancer.config.SettingsFlattener;
 import loadbalancer.config.SettingsReader;
 import loadbalancer.config.SocketAddressParser;
-import loadbalancer.proxy.BodyRelay;
 import loadbalancer.proxy.FileDescriptorBudget;
+import loadbalancer.proxy.PeerMemory;
 import loadbalancer.proxy.ProxyRequestFixtures;
 import loadbalancer.routing.api.Endpoint;
 import loadbalancer.routing.api.EndpointStatus;
@@ -53,7 +53,7 @@
                         clock::get,
                         new EventLog(line -> {}, System::nanoTime),
                         new Metrics(boot.classNames()),
-                        new BodyRelay.BufferBudget());
+                        PeerMemory.forHeap(Runtime.getRuntime().maxMemory()));
         Endpoint endpoint = new Endpoint("s1", EndpointStatus.UP, 0, 1, 0, 0, 0);
         eventLoop
                 .submit(
