A response that has begun is not ended by the timeout of its attempt

Cause: a class whose late responses are worth little gets attempts that time out at the objective. The timeout was cancelled only when a response began to be streamed, which waited for the first byte of the body; a short response was subject to it until its end. With logging, the line is 'TIMEOUT after 750 ms, response begun'.

Change: when the head of a 200 response has arrived and its body has not, the policy is asked whether the attempt may take until the deadline; it may unless the request is idempotent, whose timeout leaves time for a retry. A response that is long, or of unknown length, is streamed 0.1 s after its head even if nothing of its body has arrived; until then a failed attempt can still be retried.

ResponseWriterTest.streamResumesOnceTheClientReadsAgain expected that the head waits for the body; it now checks that the head is written at once, and the body alone later.

--- a/balancer/src/main/java/loadbalancer/dispatch/AttemptRunner.java
+++ b/balancer/src/main/java/loadbalancer/dispatch/AttemptRunner.java
@@ -85,6 +85,16 @@
                                 TimeUnit.MICROSECONDS));
     }
 
+    // While the body is uploaded, the timeout has not started yet.
+    private void extendTimeout(ExchangeAttempt attempt) {
+        Exchange exchange = attempt.exchange();
+        if (!exchange.isUploading() && policyEvents.mayResponseTakeUntilDeadline(attempt)) {
+            attempt.cancelTimeout();
+            attempt.setTimeoutMicros(Math.max(0, exchange.maxAttemptMicros(context.nowMicros())));
+            startTimeout(attempt);
+        }
+    }
+
     /**
      * Restarts the latency measurement and the timeouts of the attempts in flight at {@code
      * nowMicros}, when the request's body is complete.
@@ -117,6 +127,11 @@
             onAttemptEnded(attempt, outcome, response, load);
         }
 
+        @Override
+        public void onResponseHead() {
+            extendTimeout(attempt);
+        }
+
         @Override
         public void onResponseStarted(
                 HttpResponse responseHead, long contentLength, BodyRelay body, LoadReport load) {
--- a/balancer/src/main/java/loadbalancer/dispatch/PolicyEvents.java
+++ b/balancer/src/main/java/loadbalancer/dispatch/PolicyEvents.java
@@ -124,6 +124,11 @@
         return policy.canStartAttempt(clock.nowMicros(), attempt.exchange().id(), attempt.number());
     }
 
+    /** Returns whether an attempt whose response has begun may take until the deadline. */
+    boolean mayResponseTakeUntilDeadline(ExchangeAttempt attempt) {
+        return policy.mayResponseTakeUntilDeadline(attempt.exchange().id());
+    }
+
     /**
      * Reports the end of an attempt. Whether the request is closed is determined when the policy
      * handles the event.
--- a/balancer/src/main/java/loadbalancer/routing/RetryPolicy.java
+++ b/balancer/src/main/java/loadbalancer/routing/RetryPolicy.java
@@ -229,6 +229,15 @@
         return Math.max(1, Math.min(remainingMicros, timeoutMicros));
     }
 
+    /**
+     * Returns whether an attempt whose response has begun may take until the deadline. Its time-out
+     * is there for endpoints that do not respond, and ending a response that has begun gains
+     * nothing but for a request that may be repeated, whose time-out leaves time for that.
+     */
+    static boolean mayResponseTakeUntilDeadline(PendingRequest request) {
+        return request.requestClass().idempotency() != Idempotency.IDEMPOTENT;
+    }
+
     /**
      * Returns the delay after which a rejected client may try again, µs; 0 if the settings allow no
      * Retry-After ({@link RoutingLimits#maxRetryAfterMicros}).
--- a/balancer/src/main/java/loadbalancer/routing/RoutingEngine.java
+++ b/balancer/src/main/java/loadbalancer/routing/RoutingEngine.java
@@ -246,6 +246,12 @@
         return requests.canStartAttempt(now, requestId, attemptNumber);
     }
 
+    @Override
+    public boolean mayResponseTakeUntilDeadline(String requestId) {
+        PendingRequest request = requests.find(requestId);
+        return request != null && RetryPolicy.mayResponseTakeUntilDeadline(request);
+    }
+
     @Override
     public void onAttemptEnded(
             long now,
--- a/balancer/src/main/java/loadbalancer/routing/api/RoutingPolicy.java
+++ b/balancer/src/main/java/loadbalancer/routing/api/RoutingPolicy.java
@@ -73,6 +73,15 @@
         return true;
     }
 
+    /**
+     * Returns whether an attempt whose response has begun, but is not complete, may take until the
+     * deadline of its request instead of its own time-out. The caller asks once, when the head of
+     * the response has arrived.
+     */
+    default boolean mayResponseTakeUntilDeadline(String requestId) {
+        return false;
+    }
+
     /**
      * Handles that the body of a request that has just arrived is still being received. The time of
      * the request starts when the body is complete.
--- a/balancer/src/main/java/loadbalancer/upstream/ResponseReader.java
+++ b/balancer/src/main/java/loadbalancer/upstream/ResponseReader.java
@@ -1,6 +1,7 @@
 package loadbalancer.upstream;
 
 import io.netty.buffer.ByteBuf;
+import io.netty.buffer.Unpooled;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.SimpleChannelInboundHandler;
 import io.netty.handler.codec.http.DefaultFullHttpResponse;
@@ -36,7 +37,10 @@
     /** Length in bytes above which a response is streamed. */
     private static final int MAX_BUFFERED_RESPONSE_BYTES = 64 * 1024;
 
-    /** Time in ms after which a response of unknown length is streamed. */
+    /**
+     * Time in ms from the head after which a response that is long, or of unknown length, is
+     * streamed. Until then a failed attempt can be retried.
+     */
     private static final long RESPONSE_BUFFERING_TIMEOUT_MS = 100;
 
     private static final String LOAD_REPORT_HEADER = "Srv-Load";
@@ -54,7 +58,9 @@
     private HttpResponse responseHead;
     // The body received so far while it is buffered, or null.
     private ByteBuf bufferedBody;
-    // Set while a body of unknown length is buffered, or null.
+    // Whether onIncompleteResponse has been called for the current response.
+    private boolean incompleteResponseReported;
+    // Set while a long body, or one of unknown length, is buffered or has not begun; else null.
     private Future<?> bufferingTimeout;
     // The body while it is streamed, or null.
     private BodyRelay download;
@@ -114,7 +120,7 @@
             return;
         }
         if (download == null && bufferedBody == null) {
-            startBuffering(isLast);
+            bufferedBody = connection.channel().alloc().heapBuffer();
         }
         if (download != null) {
             download.add(content.content().retain());
@@ -128,9 +134,11 @@
         }
     }
 
-    private void startBuffering(boolean isLast) {
-        bufferedBody = connection.channel().alloc().heapBuffer();
-        if (contentLength() < 0 && !isLast) {
+    // Called once for a response that is not complete when everything that arrived with its head
+    // has been read.
+    private void onIncompleteResponse(UpstreamRequest request) {
+        incompleteResponseReported = true;
+        if (contentLength() < 0 || contentLength() > MAX_BUFFERED_RESPONSE_BYTES) {
             bufferingTimeout =
                     pool.loop()
                             .schedule(
@@ -138,6 +146,17 @@
                                     RESPONSE_BUFFERING_TIMEOUT_MS,
                                     TimeUnit.MILLISECONDS);
         }
+        if (responseHead.status().code() == 200) {
+            request.onResponseHead();
+        }
+    }
+
+    private boolean isResponseIncomplete() {
+        return responseHead != null
+                && responseHead.status().codeClass() != HttpStatusClass.INFORMATIONAL
+                && completeResponse == null
+                && download == null
+                && !connection.isBroken();
     }
 
     private void bufferOrStartStreaming(ByteBuf part) {
@@ -188,9 +207,9 @@
     // dropped.
     private void startStreaming() {
         cancelBufferingTimeout();
-        ByteBuf initialBody = bufferedBody;
+        ByteBuf initialBody = bufferedBody == null ? Unpooled.EMPTY_BUFFER : bufferedBody;
         UpstreamRequest request = connection.request();
-        if (request == null || connection.isBroken() || initialBody == null) {
+        if (request == null || connection.isBroken() || responseHead == null) {
             return;
         }
         if (responseHead.status().code() != 200 || request.isHealthCheck()) {
@@ -226,6 +245,10 @@
         if (streamCompleted && !connection.isBroken()) {
             onStreamComplete();
         }
+        UpstreamRequest request = connection.request();
+        if (request != null && !incompleteResponseReported && isResponseIncomplete()) {
+            onIncompleteResponse(request);
+        }
         if (response == null) {
             return;
         }
@@ -303,6 +326,7 @@
     }
 
     private void resetResponseState() {
+        incompleteResponseReported = false;
         cancelBufferingTimeout();
         if (bufferedBody != null) {
             bufferedBody.release();
--- a/balancer/src/main/java/loadbalancer/upstream/UpstreamRequest.java
+++ b/balancer/src/main/java/loadbalancer/upstream/UpstreamRequest.java
@@ -121,6 +121,10 @@
         return activeConnection.abandonRequest();
     }
 
+    void onResponseHead() {
+        listener.onResponseHead();
+    }
+
     void onResponseStarted(
             HttpResponse responseHead, long contentLength, BodyRelay body, LoadReport load) {
         listener.onResponseStarted(responseHead, contentLength, body, load);
--- a/balancer/src/main/java/loadbalancer/upstream/UpstreamResponseListener.java
+++ b/balancer/src/main/java/loadbalancer/upstream/UpstreamResponseListener.java
@@ -26,6 +26,12 @@
      */
     void onComplete(AttemptOutcome outcome, FullHttpResponse response, LoadReport load);
 
+    /**
+     * Called when the head of a 200 response has arrived and its body is not complete, at most once
+     * and before {@link #onResponseStarted}.
+     */
+    default void onResponseHead() {}
+
     /**
      * Called when a 200 response begins to be streamed. {@link #onComplete} reports its end,
      * without a response.
--- a/balancer/src/test/java/loadbalancer/http/ResponseWriterTest.java
+++ b/balancer/src/test/java/loadbalancer/http/ResponseWriterTest.java
@@ -183,11 +183,12 @@
     void streamResumesOnceTheClientReadsAgain() {
         receiveRequest("HTTP/1.1");
         stream(5, true);
+        assertTrue(written().endsWith("\r\n\r\n"), "the head does not wait for the body");
         setWritable(false);
         receiveBody("hello");
         assertEquals("", written());
         setWritable(true);
-        assertTrue(written().endsWith("\r\n\r\nhello"));
+        assertEquals("hello", written());
     }
 
     private void setWritable(boolean writable) {
--- a/balancer/src/test/java/loadbalancer/routing/RetryPolicyTest.java
+++ b/balancer/src/test/java/loadbalancer/routing/RetryPolicyTest.java
@@ -136,6 +136,17 @@
         assertEquals("failed", harness.finalResponses.get("once"));
     }
 
+    /** Ending a response that has begun gains nothing unless the request may be repeated. */
+    @Test
+    void begunResponseMayTakeUntilTheDeadlineUnlessTheRequestIsIdempotent() {
+        RoutingEngineHarness harness = withEndpoints(11, 6, IDEMPOTENT, NON_IDEMPOTENT);
+        harness.request("safe", 0);
+        harness.request("once", 1);
+        assertFalse(harness.policy.mayResponseTakeUntilDeadline("safe"));
+        assertTrue(harness.policy.mayResponseTakeUntilDeadline("once"));
+        assertFalse(harness.policy.mayResponseTakeUntilDeadline("unknown"));
+    }
+
     @Test
     void slowIdempotentAttemptIsHedgedOnce() {
         // Without hedging, the balancer waits for a lost response until the deadline. This cost a
