The time of a request with a long body counts from when its client can have sent it

The log had nothing about them until the client left: 'NOT_SENT after 0 ms, the request was closed'.

While an upstream takes nothing, the balancer does not read either, so that the time never began.

The size of the receive buffer (FIONREAD) is read every 50 ms while an upload is in progress, as reading may be paused. The dispatcher counts the deadline from there while the body is incomplete, and so for the attempts when it completes late. A client whose receive buffer is empty has not sent its last byte, so slow clients keep their time. The send buffer towards upstreams is limited for uploads, as it is towards clients, so that progress is seen.

ClientLiveness took a read that ended early because reading was paused for an empty receive buffer; it now asks whether the last read found nothing. ClientInput takes the decoder, its memory and arrivals out of ClientConnection.

--- a/balancer/src/main/java/loadbalancer/dispatch/AttemptRunner.java
+++ b/balancer/src/main/java/loadbalancer/dispatch/AttemptRunner.java
@@ -103,6 +103,8 @@
         for (ExchangeAttempt attempt : exchange.attempts()) {
             if (!attempt.hasEnded()) {
                 attempt.restart(nowMicros);
+                long maxAttemptMicros = Math.max(0, exchange.maxAttemptMicros(nowMicros));
+                attempt.setTimeoutMicros(Math.min(attempt.timeoutMicros(), maxAttemptMicros));
                 startTimeout(attempt);
             }
         }
--- a/balancer/src/main/java/loadbalancer/dispatch/Exchange.java
+++ b/balancer/src/main/java/loadbalancer/dispatch/Exchange.java
@@ -76,12 +76,9 @@
         return deadlineMicros;
     }
 
-    /**
-     * Returns the delay in µs of the fallback response, from the arrival of the request or from the
-     * end of its upload.
-     */
-    long fallbackDelayMicros() {
-        return Math.max(0, proxyRequest.timeLeftMicros() - FALLBACK_RESPONSE_MARGIN_MICROS);
+    /** Returns the time in µs until the fallback response. */
+    long fallbackDelayMicros(long nowMicros) {
+        return Math.max(0, deadlineMicros - FALLBACK_RESPONSE_MARGIN_MICROS - nowMicros);
     }
 
     /**
@@ -120,12 +117,9 @@
         uploading = false;
     }
 
-    /**
-     * Restarts the time until the deadline at {@code nowMicros}, when the request's body is
-     * complete.
-     */
-    void restartDeadline(long nowMicros) {
-        deadlineMicros = nowMicros + proxyRequest.timeLeftMicros();
+    /** Restarts the time until the deadline at the time at which the body was sent. */
+    void restartDeadline(long bodySentAtMicros) {
+        deadlineMicros = bodySentAtMicros + proxyRequest.timeLeftMicros();
     }
 
     /** Returns the attempts in the order of their numbers. None may be added while iterating. */
--- a/balancer/src/main/java/loadbalancer/dispatch/ExchangeLifecycle.java
+++ b/balancer/src/main/java/loadbalancer/dispatch/ExchangeLifecycle.java
@@ -10,6 +10,8 @@
  * only.
  */
 final class ExchangeLifecycle {
+    private static final long UPLOAD_CHECK_INTERVAL_MICROS = 50_000;
+
     private final DispatchContext context;
     private final RequestTable requests;
     private final FinalResponses responses;
@@ -42,6 +44,10 @@
         if (exchange.isUploading()) {
             policyEvents.uploadStarted(exchange);
         }
+        if (isUploadInFlight(exchange) && !exchange.isClosed()) {
+            exchange.cancelFallbackTimer();
+            scheduleFallback(exchange);
+        }
         return new Handle(exchange);
     }
 
@@ -64,23 +70,31 @@
     }
 
     private void scheduleFallback(Exchange exchange) {
+        long delayMicros = exchange.fallbackDelayMicros(context.nowMicros());
         exchange.setFallbackTimer(
                 context.loop()
                         .schedule(
                                 () -> onFallbackTimer(exchange),
-                                exchange.fallbackDelayMicros(),
+                                isUploadInFlight(exchange)
+                                        ? Math.min(delayMicros, UPLOAD_CHECK_INTERVAL_MICROS)
+                                        : delayMicros,
                                 TimeUnit.MICROSECONDS));
     }
 
-    // The deadline of the request and the timeouts of its attempts count from the end of the
-    // upload.
+    private static boolean isUploadInFlight(Exchange exchange) {
+        return exchange.isUploading() && exchange.hasAttemptsInFlight();
+    }
+
+    // The deadline of the request and the timeouts of its attempts count from when the client may
+    // have sent the body's last byte, which may have been read much later.
     private void onUploadComplete(Exchange exchange) {
-        exchange.markUploaded();
         if (exchange.isClosed()) {
+            exchange.markUploaded();
             return;
         }
         long nowMicros = context.nowMicros();
-        exchange.restartDeadline(nowMicros);
+        restartDeadline(exchange, nowMicros);
+        exchange.markUploaded();
         exchange.cancelFallbackTimer();
         scheduleFallback(exchange);
         attempts.restartTimeouts(exchange, nowMicros);
@@ -97,11 +111,23 @@
         }
     }
 
+    private void restartDeadline(Exchange exchange, long nowMicros) {
+        exchange.restartDeadline(nowMicros - exchange.responseSender().microsSinceBodySent());
+    }
+
+    // While an attempt streams the upload, the deadline counts from when the client may have sent
+    // the body's last byte, which is checked repeatedly because reading may be paused.
     private void onFallbackTimer(Exchange exchange) {
-        if (exchange.isUploading() && exchange.hasAttemptsInFlight()) {
-            // An attempt is streaming the upload, so the deadline does not count yet.
+        if (exchange.isClosed()) {
+            return;
+        }
+        long nowMicros = context.nowMicros();
+        if (isUploadInFlight(exchange)) {
+            restartDeadline(exchange, nowMicros);
+        }
+        if (exchange.fallbackDelayMicros(nowMicros) > 0) {
             scheduleFallback(exchange);
-        } else if (!exchange.isClosed()) {
+        } else {
             sendFallbackResponse(exchange);
         }
     }
--- a/balancer/src/main/java/loadbalancer/dispatch/PolicyEvents.java
+++ b/balancer/src/main/java/loadbalancer/dispatch/PolicyEvents.java
@@ -111,7 +111,7 @@
                         policy.onUploadCompleted(
                                 now,
                                 exchange.id(),
-                                exchange.proxyRequest().timeLeftMicros(),
+                                Math.max(0, exchange.deadlineMicros() - now),
                                 actions));
     }
 
--- a/balancer/src/main/java/loadbalancer/dispatch/ResponseSender.java
+++ b/balancer/src/main/java/loadbalancer/dispatch/ResponseSender.java
@@ -10,6 +10,12 @@
     /** Checks the connection and returns whether the client is still connected. */
     boolean isClientConnected();
 
+    /**
+     * Returns the time in µs since the earliest time at which the client can have sent the last
+     * byte of the request's body, whether it has been read or not; 0 if it can't have sent it yet.
+     */
+    long microsSinceBodySent();
+
     /** Sends a response of an upstream. The caller keeps ownership and releases it. */
     void send(FullHttpResponse response);
 
--- a/balancer/src/main/java/loadbalancer/http/ClientConnection.java
+++ b/balancer/src/main/java/loadbalancer/http/ClientConnection.java
@@ -13,7 +13,6 @@
 import loadbalancer.dispatch.RequestHandle;
 import loadbalancer.proxy.BodyRelay;
 import loadbalancer.proxy.MemoryReservation;
-import loadbalancer.proxy.StrictFraming;
 
 /**
  * One client connection. Coordinates the reading of requests ({@link RequestReader}), their
@@ -39,8 +38,7 @@
     private final FrontendContext context;
     private final ClientLiveness liveness;
     private final RequestTimeoutHandler requestTimeout;
-    // Null once no more requests are handled, so that nothing of an incomplete one is retained.
-    private StrictFraming.RequestDecoder decoder = new StrictFraming.RequestDecoder();
+    private final ClientInput input;
     private final RequestReader reader;
     private final ResponseWriter responseWriter;
     private final ArrayDeque<BufferedRequest> pipelinedRequests = new ArrayDeque<>();
@@ -52,8 +50,6 @@
     private boolean closing;
     // Null unless the dispatcher still has to provide a final response.
     private RequestHandle requestHandle;
-    // The memory that the decoder retains of an incomplete head.
-    private final MemoryReservation decoderMemory;
     // The memory of the request that is being processed; null if there is none.
     private MemoryReservation currentMemory;
     // Whether a refusal is due after the responses to all earlier requests.
@@ -70,9 +66,10 @@
         this.channel = channel;
         this.context = context;
         this.connectionNumber = context.connections().nextConnectionNumber();
-        this.liveness = new ClientLiveness(channel, ClientListener.MAX_READS_PER_LOOP);
+        this.liveness =
+                new ClientLiveness(channel, ClientListener.MAX_READS_PER_LOOP, this::onInputEmpty);
         this.requestTimeout = new RequestTimeoutHandler(this, context.loop());
-        this.decoderMemory = new MemoryReservation(context.memory(), false);
+        this.input = new ClientInput(channel, context.memory());
         this.reader = new RequestReader(this, channel, context);
         this.responseWriter = new ResponseWriter(this, channel);
     }
@@ -83,7 +80,7 @@
                 .addLast(
                         liveness,
                         requestTimeout,
-                        decoder,
+                        input.newDecoder(),
                         new HttpResponseEncoder(),
                         new RequestFilter(this),
                         reader);
@@ -101,7 +98,7 @@
         pipelinedRequests.clear();
         reader.onConnectionClosed();
         releaseCurrentMemory();
-        decoderMemory.release();
+        input.onConnectionClosed();
         if (requestHandle != null) {
             requestHandle.onClientDisconnected();
         }
@@ -128,9 +125,7 @@
         return closing;
     }
 
-    /**
-     * Returns whether a request has been received completely and its response is not yet written.
-     */
+    /** Returns whether a request has been received completely and is not yet answered. */
     boolean isRequestInProgress() {
         return phase != RequestPhase.NONE;
     }
@@ -145,9 +140,7 @@
         return requestCount;
     }
 
-    /**
-     * Returns the time in ns at which an unproven connection was accepted or last received bytes.
-     */
+    /** Returns when in ns an unproven connection was accepted or last received bytes. */
     long lastProgressNanos() {
         return lastProgressNanos;
     }
@@ -171,7 +164,8 @@
     }
 
     /** Handles the receipt of bytes, before they are decoded. */
-    void onBytesReceived() {
+    void onBytesReceived(int bytes) {
+        input.onRead(bytes);
         receiving = true;
         if (context.connections().markActive(this)) {
             lastProgressNanos = System.nanoTime();
@@ -181,23 +175,31 @@
         }
     }
 
+    /**
+     * Returns the time in ns since the earliest time at which the client can have sent the last
+     * byte of the body that is being received, or has just been; 0 if it can't have sent it yet.
+     */
+    long nanosSinceBodySent() {
+        return input.nanosSinceLastByte(!reader.isRelayReading());
+    }
+
+    private void onInputEmpty() {
+        input.onEmpty();
+    }
+
     /** Counts the memory of an incomplete head, after received bytes have been decoded. */
     void onBytesDecoded() {
-        if (!closing && decoder != null && !resizeDecoderMemory()) {
+        if (closing || input.reserveRetainedBytes()) {
+            return;
+        }
+        if (!context.connections().evictStalledHolders(this) || !input.reserveRetainedBytes()) {
             refuseIncompleteRequest(null);
         }
     }
 
-    private boolean resizeDecoderMemory() {
-        int retainedBytes = decoder.retainedBytes();
-        return decoderMemory.resizeTo(retainedBytes)
-                || (context.connections().evictStalledHolders(this)
-                        && decoderMemory.resizeTo(retainedBytes));
-    }
-
     /** Returns the bytes that an incomplete request of this connection retains. */
     int incompleteRequestBytes() {
-        return receiving ? decoderMemory.bytes() + reader.incompleteRequestBytes() : 0;
+        return receiving ? input.reservedBytes() + reader.incompleteRequestBytes() : 0;
     }
 
     void markReceiving() {
@@ -207,20 +209,7 @@
     /** Drops all further input; the connection is closed after the pending responses. */
     void acceptNoMoreRequests() {
         closing = true;
-        stopDecoding();
-    }
-
-    // Frees what the decoder retains of a request that will not be processed.
-    private void stopDecoding() {
-        if (decoder == null) {
-            return;
-        }
-        StrictFraming.RequestDecoder stoppedDecoder = decoder;
-        decoder = null;
-        decoderMemory.resizeTo(0);
-        if (channel.pipeline().context(stoppedDecoder) != null) {
-            channel.pipeline().remove(stoppedDecoder);
-        }
+        input.stopDecoding();
     }
 
     /** Handles the end of a streamed request's body. */
@@ -273,7 +262,7 @@
             sendRefusal();
         } else if (closing || context.servingState().endsConnections()) {
             closeGracefully();
-        } else if (receiving || (decoder != null && decoder.hasUndecodedBytes())) {
+        } else if (receiving || input.hasUndecodedBytes()) {
             receiving = true;
             requestTimeout.start();
         } else if (channel.isActive()) {
@@ -461,7 +450,7 @@
         if (receiving && !isRequestInProgress()) {
             reader.discardPartialRequest();
             sendText(HttpResponseStatus.REQUEST_TIMEOUT, "no whole request in time", false);
-            stopDecoding();
+            input.stopDecoding();
         } else {
             closeAtOnce();
         }
--- a/balancer/src/main/java/loadbalancer/http/ClientListener.java
+++ b/balancer/src/main/java/loadbalancer/http/ClientListener.java
@@ -72,7 +72,7 @@
     InetSocketAddress listen(InetSocketAddress address) throws IOException {
         accepting = true;
         return awaitBound(
-                serverBootstrap(new NioServerSocketChannel())
+                serverBootstrap(new ClientServerChannel())
                         .option(ChannelOption.SO_BACKLOG, ACCEPT_BACKLOG)
                         .option(ChannelOption.SO_REUSEADDR, true)
                         .bind(address));
@@ -87,7 +87,7 @@
      */
     InetSocketAddress listen(ServerSocketChannel inheritedSocket) throws IOException {
         return awaitBound(
-                serverBootstrap(new NioServerSocketChannel(inheritedSocket))
+                serverBootstrap(new ClientServerChannel(inheritedSocket))
                         .option(ChannelOption.AUTO_READ, false)
                         .register());
     }
--- a/balancer/src/main/java/loadbalancer/http/ClientLiveness.java
+++ b/balancer/src/main/java/loadbalancer/http/ClientLiveness.java
@@ -19,6 +19,7 @@
     private static final int MAX_READ_ATTEMPTS = 4;
     private final Channel channel;
     private final int maxReadsPerLoop;
+    private final Runnable onEmpty;
     // Whether a read of this connection is on the call stack.
     private boolean reading;
     // The number of messages read since the last channelReadComplete.
@@ -31,9 +32,11 @@
      *
      * @param maxReadsPerLoop the number of reads after which the event loop proceeds to other
      *     connections, whether or not the receive buffer is empty
+     * @param onEmpty runs each time the receive buffer has been read until it was empty
      */
-    ClientLiveness(Channel channel, int maxReadsPerLoop) {
+    ClientLiveness(Channel channel, int maxReadsPerLoop, Runnable onEmpty) {
         this.channel = channel;
+        this.onEmpty = onEmpty;
         this.maxReadsPerLoop = maxReadsPerLoop;
         this.lastEmptyReadNanos = System.nanoTime() - FRESHNESS_NANOS;
     }
@@ -65,8 +68,11 @@
     @Override
     public void channelReadComplete(ChannelHandlerContext context) {
         reading = false;
-        if (readCount < maxReadsPerLoop) {
+        // The last read finds nothing if it has not ended early, as when reading is paused.
+        boolean foundNothing = channel.unsafe().recvBufAllocHandle().lastBytesRead() <= 0;
+        if (foundNothing && readCount < maxReadsPerLoop) {
             lastEmptyReadNanos = System.nanoTime();
+            onEmpty.run();
         }
         readCount = 0;
         context.fireChannelReadComplete();
--- a/balancer/src/main/java/loadbalancer/http/ClientResponseSender.java
+++ b/balancer/src/main/java/loadbalancer/http/ClientResponseSender.java
@@ -18,6 +18,7 @@
  */
 final class ClientResponseSender implements ResponseSender {
     private static final double MICROS_PER_SECOND = 1e6;
+    private static final long NANOS_PER_MICRO = 1_000;
 
     private final ClientConnection connection;
     private final boolean keepAlive;
@@ -46,6 +47,11 @@
         return !connection.isDisconnected();
     }
 
+    @Override
+    public long microsSinceBodySent() {
+        return connection.nanosSinceBodySent() / NANOS_PER_MICRO;
+    }
+
     @Override
     public void send(FullHttpResponse response) {
         responded = true;
--- a/balancer/src/main/java/loadbalancer/http/RequestTimeoutHandler.java
+++ b/balancer/src/main/java/loadbalancer/http/RequestTimeoutHandler.java
@@ -1,5 +1,6 @@
 package loadbalancer.http;
 
+import io.netty.buffer.ByteBuf;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInboundHandlerAdapter;
 import io.netty.channel.EventLoop;
@@ -39,7 +40,7 @@
             ReferenceCountUtil.release(message);
             return;
         }
-        connection.onBytesReceived();
+        connection.onBytesReceived(((ByteBuf) message).readableBytes());
         context.fireChannelRead(message);
         connection.onBytesDecoded();
     }
--- a/balancer/src/main/java/loadbalancer/http/ResponseWriter.java
+++ b/balancer/src/main/java/loadbalancer/http/ResponseWriter.java
@@ -127,6 +127,8 @@
                         abort(selfDelimited);
                     }
                 });
+        // The head, if no part of the body has arrived yet.
+        channel.flush();
     }
 
     /**
--- a/balancer/src/main/java/loadbalancer/upstream/UpstreamConnection.java
+++ b/balancer/src/main/java/loadbalancer/upstream/UpstreamConnection.java
@@ -4,6 +4,7 @@
 import io.netty.channel.ChannelFuture;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInboundHandlerAdapter;
+import io.netty.channel.socket.SocketChannel;
 import io.netty.util.ReferenceCountUtil;
 import loadbalancer.admin.EventLog;
 import loadbalancer.proxy.BodyRelay;
@@ -16,6 +17,9 @@
  * thread only.
  */
 final class UpstreamConnection extends ChannelInboundHandlerAdapter {
+    // With a larger buffer, a slow upstream's progress is seen in steps of many seconds.
+    private static final int UPLOAD_SEND_BUFFER_BYTES = 128 * 1024;
+
     /** How much of the request has been written. Only a complete request may have run. */
     private enum WriteProgress {
         NOT_STARTED,
@@ -88,6 +92,7 @@
         responding = false;
         BodyRelay upload = nextRequest.upload();
         if (upload != null) {
+            limitSendBuffer();
             channel.write(nextRequest.toHttpRequest(endpoint.address()));
             upload.writeTo(channel, new UploadListener(nextRequest));
         } else {
@@ -96,6 +101,12 @@
         }
     }
 
+    private void limitSendBuffer() {
+        if (channel instanceof SocketChannel socket) {
+            socket.config().setSendBufferSize(UPLOAD_SEND_BUFFER_BYTES);
+        }
+    }
+
     private final class UploadListener implements BodyRelay.Listener {
         private final UpstreamRequest uploadedRequest;
 
--- a/balancer/src/test/java/loadbalancer/dispatch/RecordingResponseSender.java
+++ b/balancer/src/test/java/loadbalancer/dispatch/RecordingResponseSender.java
@@ -48,6 +48,11 @@
         return connected;
     }
 
+    @Override
+    public long microsSinceBodySent() {
+        return 0;
+    }
+
     @Override
     public void send(FullHttpResponse response) {
         responses.add("response");
--- a/balancer/src/test/java/loadbalancer/http/ClientLivenessTest.java
+++ b/balancer/src/test/java/loadbalancer/http/ClientLivenessTest.java
@@ -16,7 +16,8 @@
     private static final int MAX_READS_PER_LOOP = 2;
 
     private final UnreadInputChannel channel = new UnreadInputChannel();
-    private final ClientLiveness liveness = new ClientLiveness(channel, MAX_READS_PER_LOOP);
+    private final ClientLiveness liveness =
+            new ClientLiveness(channel, MAX_READS_PER_LOOP, () -> {});
     private final List<Object> handled = new ArrayList<>();
     private Runnable onMessage = () -> {};
 
