A request that may have run is not forwarded again under its id

Cause: the balancer knew a request by a number of its own, and forgot it when it ended. An id that came again was a new request.

Change: RequestIds remembers the ids of requests of classes that may not simply be repeated, from their submission on, unless every attempt proves that it never ran. An id that comes again gets 502 and is not forwarded. Where the listening socket is inherited, both processes of an upgrade map one file in their shared $TMPDIR, written whole before it is mapped since a page without space on disk would end the process; if that fails, a line says so and the ids are the process's own. Times are the monotonic clock's.

Tests that sent one id several times in a class that may not be repeated now use an id for each request; nothing else about them changed. The fallback response at the deadline is logged as failed too, so that policyExceptionDoesNotStopTheServer finds its line one place earlier.

PackageDependenciesTest lets dispatch use util, a leaf for hashing that config, cluster and lease use already.

--- a/balancer/src/main/java/loadbalancer/config/BalancerConfig.java
+++ b/balancer/src/main/java/loadbalancer/config/BalancerConfig.java
@@ -1,6 +1,7 @@
 package loadbalancer.config;
 
 import java.net.InetSocketAddress;
+import java.nio.file.Path;
 import java.util.HashMap;
 import java.util.Map;
 import java.util.Optional;
@@ -20,6 +21,8 @@
  * @param adminAddress address of the administration interface; empty if there is none
  * @param listenSocketInherited whether the listening socket for clients was inherited as file
  *     descriptor 0
+ * @param handoverDirectory a directory that the process shares with the one that takes over from it
+ *     and with no other balancer; empty unless the listening socket is inherited
  * @param localSettings settings of the load balancer itself
  */
 public record BalancerConfig(
@@ -33,6 +36,7 @@
         PeerAddresses peers,
         Optional<InetSocketAddress> adminAddress,
         boolean listenSocketInherited,
+        Optional<Path> handoverDirectory,
         LocalSettings localSettings) {
     /**
      * Reads the file that the variable {@code ROUTER_CONFIG} names. Other variables override its
--- a/balancer/src/main/java/loadbalancer/config/BalancerConfigParser.java
+++ b/balancer/src/main/java/loadbalancer/config/BalancerConfigParser.java
@@ -20,6 +20,7 @@
     static final String DISCOVERY_VARIABLE = "ROUTER_DISCOVERY";
 
     private static final String FILE_VARIABLE = "ROUTER_CONFIG";
+    private static final String DIRECTORY_VARIABLE = "TMPDIR";
     private static final String ACCEPT_FD_VARIABLE = "ROUTER_ACCEPT_FD";
     private static final String INHERITED_DESCRIPTOR = "0";
     // Applies if neither the file nor the operating system sets a limit.
@@ -80,9 +81,16 @@
                 peers(),
                 adminText.map(address -> parseAddress("admin", address)),
                 listenSocketInherited,
+                listenSocketInherited ? handoverDirectory() : Optional.empty(),
                 LocalSettings.read(environment));
     }
 
+    private Optional<Path> handoverDirectory() {
+        return Optional.ofNullable(environment.get(DIRECTORY_VARIABLE))
+                .filter(directory -> !directory.isBlank())
+                .map(Path::of);
+    }
+
     private boolean listenSocketInherited() {
         Optional<String> descriptor = text(ACCEPT_FD_VARIABLE, "accept_fd");
         if (descriptor.isPresent() && !descriptor.get().strip().equals(INHERITED_DESCRIPTOR)) {
--- a/balancer/src/main/java/loadbalancer/dispatch/AttemptRunner.java
+++ b/balancer/src/main/java/loadbalancer/dispatch/AttemptRunner.java
@@ -166,6 +166,7 @@
         }
         attempt.end();
         Exchange exchange = attempt.exchange();
+        exchange.onAttemptOutcome(outcome);
         if (attempt == exchange.streamingAttempt()) {
             onStreamEnded(attempt, outcome);
         } else {
--- a/balancer/src/main/java/loadbalancer/dispatch/Dispatcher.java
+++ b/balancer/src/main/java/loadbalancer/dispatch/Dispatcher.java
@@ -29,18 +29,23 @@
     private final PolicyActions actions;
     private UpstreamPool upstreamPool;
 
-    /** Creates a dispatcher; {@link #attach} must be called before the first event. */
+    /**
+     * Creates a dispatcher; {@link #attach} must be called before the first event.
+     *
+     * @param ids the ids of the requests that may have run, which are not forwarded again
+     */
     public Dispatcher(
             EventLoop loop,
             BootSettings boot,
             RoutingPolicy policy,
             Consumer<String> log,
             EventLog events,
-            Metrics metrics) {
+            Metrics metrics,
+            RequestIds ids) {
         this.policy = policy;
         context = new DispatchContext(loop, boot, new MonotonicClock(), log, events, metrics);
         policyEvents = new PolicyEvents(policy, context.clock(), log);
-        requests = new RequestTable(loop);
+        requests = new RequestTable(loop, ids);
         FinalResponses responses = new FinalResponses(context, requests, policyEvents);
         attempts = new AttemptRunner(context, requests, responses, policyEvents);
         lifecycle = new ExchangeLifecycle(context, requests, responses, attempts, policyEvents);
--- a/balancer/src/main/java/loadbalancer/dispatch/Exchange.java
+++ b/balancer/src/main/java/loadbalancer/dispatch/Exchange.java
@@ -5,6 +5,7 @@
 import java.util.concurrent.Future;
 import loadbalancer.proxy.BodyRelay;
 import loadbalancer.proxy.ProxyRequest;
+import loadbalancer.routing.api.AttemptOutcome;
 
 /**
  * One client request with its attempts and the state of its final response. It owns the timer of
@@ -24,6 +25,9 @@
      */
     private static final long FINAL_ATTEMPT_MARGIN_MICROS = 6_000;
 
+    /** The value of {@link #idClaim} of a request that may be forwarded repeatedly. */
+    static final int NO_CLAIM = -1;
+
     private enum ResponseState {
         /** No final response yet. */
         PENDING,
@@ -45,7 +49,11 @@
     // The attempt whose response is or was streamed, or null.
     private ExchangeAttempt streamingAttempt;
     private BodyRelay responseBody;
+    // Null until the request is given to the policy.
     private Future<?> fallbackTimer;
+    // The claim of the client's id, or NO_CLAIM.
+    private int idClaim = NO_CLAIM;
+    private boolean mayHaveRun;
 
     Exchange(
             String id,
@@ -101,6 +109,25 @@
         fallbackTimer.cancel(false);
     }
 
+    /** Returns the claim of the client's id, or {@link #NO_CLAIM}. */
+    int idClaim() {
+        return idClaim;
+    }
+
+    void setIdClaim(int claim) {
+        idClaim = claim;
+    }
+
+    /** Returns whether an upstream may have run the request. */
+    boolean mayHaveRun() {
+        return mayHaveRun;
+    }
+
+    /** Records that an attempt has ended, and whether its upstream may have run the request. */
+    void onAttemptOutcome(AttemptOutcome outcome) {
+        mayHaveRun |= !outcome.neverRan();
+    }
+
     /** Frees the streamed body, if there is one, which no attempt may have taken. */
     void discardUpload() {
         BodyRelay upload = proxyRequest.upload();
@@ -187,7 +214,9 @@
     private void leavePending(ResponseState nextState) {
         assert !isClosed() : "second final response for request " + proxyRequest.clientRequestId();
         responseState = nextState;
-        cancelFallbackTimer();
+        if (fallbackTimer != null) {
+            cancelFallbackTimer();
+        }
     }
 
     /** Returns the attempt whose response is or was streamed, or null. */
--- a/balancer/src/main/java/loadbalancer/dispatch/ExchangeLifecycle.java
+++ b/balancer/src/main/java/loadbalancer/dispatch/ExchangeLifecycle.java
@@ -3,6 +3,7 @@
 import java.util.concurrent.TimeUnit;
 import loadbalancer.proxy.ProxyRequest;
 import loadbalancer.routing.api.AttemptOutcome;
+import loadbalancer.routing.api.Idempotency;
 
 /**
  * Handles the events of a client's request: its submission, the end of its upload, the client's
@@ -39,6 +40,14 @@
 
     RequestHandle submit(ProxyRequest proxyRequest, ResponseSender responseSender) {
         Exchange exchange = requests.add(proxyRequest, responseSender, context.nowMicros());
+        if (mustRunOnce(proxyRequest)) {
+            int idClaim = requests.claimId(proxyRequest);
+            if (idClaim == RequestIds.ALREADY_CLAIMED) {
+                responses.failRepeated(exchange);
+                return new Handle(exchange);
+            }
+            exchange.setIdClaim(idClaim);
+        }
         scheduleFallback(exchange);
         policyEvents.requestReceived(exchange);
         if (exchange.isUploading()) {
@@ -51,6 +60,16 @@
         return new Handle(exchange);
     }
 
+    // The upstreams' own detection of repeats is limited to a time and a part of them.
+    private boolean mustRunOnce(ProxyRequest proxyRequest) {
+        return context.boot()
+                        .settings()
+                        .requestClasses()
+                        .get(proxyRequest.requestClass())
+                        .idempotency()
+                != Idempotency.IDEMPOTENT;
+    }
+
     private final class Handle implements RequestHandle {
         private final Exchange exchange;
 
--- a/balancer/src/main/java/loadbalancer/dispatch/FinalResponses.java
+++ b/balancer/src/main/java/loadbalancer/dispatch/FinalResponses.java
@@ -86,9 +86,22 @@
         requests.removeIfFinished(exchange);
     }
 
+    /** Fails a request whose id has come before, which may have run and is not forwarded again. */
+    void failRepeated(Exchange exchange) {
+        settle(exchange);
+        context.events()
+                .record(
+                        EventLog.Kind.FAILED,
+                        exchange.proxyRequest().clientRequestId(),
+                        () -> "its id came before, not forwarded again");
+        sendFailure(exchange);
+        requests.removeIfFinished(exchange);
+    }
+
     /** Fails a request that the policy has left without a response. */
     void failAtDeadline(Exchange exchange) {
         settle(exchange);
+        logFinalResponse(EventLog.Kind.FAILED, exchange);
         sendFailure(exchange);
     }
 
--- a/balancer/src/main/java/loadbalancer/dispatch/RequestTable.java
+++ b/balancer/src/main/java/loadbalancer/dispatch/RequestTable.java
@@ -11,13 +11,15 @@
  */
 final class RequestTable {
     private final EventLoop loop;
+    private final RequestIds ids;
     private final Map<String, Exchange> exchanges = new HashMap<>();
     private long acceptedRequestCount;
     private int pendingRequestCount;
     private Runnable idleCallback;
 
-    RequestTable(EventLoop loop) {
+    RequestTable(EventLoop loop, RequestIds ids) {
         this.loop = loop;
+        this.ids = ids;
     }
 
     /** Adds a request, which arrived at {@code nowMicros}, under a new unique id. */
@@ -34,6 +36,16 @@
         return exchange;
     }
 
+    /**
+     * Claims the client's id of a request that must not run twice.
+     *
+     * @return the claim, or {@link RequestIds#ALREADY_CLAIMED} if a request with that id may have
+     *     run
+     */
+    int claimId(ProxyRequest proxyRequest) {
+        return ids.claim(proxyRequest.clientRequestId());
+    }
+
     /** Returns the request with that id, or null if it has been removed. */
     Exchange find(String requestId) {
         return exchanges.get(requestId);
@@ -43,10 +55,17 @@
     void removeIfFinished(Exchange exchange) {
         if (exchange.isFinished() && exchanges.remove(exchange.id()) != null) {
             exchange.discardUpload();
+            releaseIdUnlessRun(exchange);
             exchange.responseSender().onRequestFinished();
         }
     }
 
+    private void releaseIdUnlessRun(Exchange exchange) {
+        if (exchange.idClaim() != Exchange.NO_CLAIM && !exchange.mayHaveRun()) {
+            ids.release(exchange.idClaim(), exchange.proxyRequest().clientRequestId());
+        }
+    }
+
     /** Records that a pending request has been settled. */
     void onResponseSettled() {
         pendingRequestCount--;
--- a/balancer/src/main/java/loadbalancer/server/BalancerServer.java
+++ b/balancer/src/main/java/loadbalancer/server/BalancerServer.java
@@ -25,6 +25,7 @@
 import loadbalancer.discovery.DiscoveryClient;
 import loadbalancer.discovery.EndpointListListener;
 import loadbalancer.dispatch.Dispatcher;
+import loadbalancer.dispatch.RequestIds;
 import loadbalancer.http.HttpFrontend;
 import loadbalancer.proxy.FileDescriptorBudget;
 import loadbalancer.proxy.PeerMemory;
@@ -103,7 +104,9 @@
         RoutingPolicy policy = policyFactory.apply(config.boot().settings(), config.seed());
         events = new EventLog(log, System::nanoTime);
         metrics = new Metrics(config.boot().classNames());
-        dispatcher = new Dispatcher(loop, config.boot(), policy, log, events, metrics);
+        dispatcher =
+                new Dispatcher(
+                        loop, config.boot(), policy, log, events, metrics, requestIds(config, log));
         memory = PeerMemory.forHeap(Runtime.getRuntime().maxMemory());
         upstreamPool = newUpstreamPool();
         recoveryStore = openRecoveryStore(config, log);
@@ -149,6 +152,18 @@
                 memory);
     }
 
+    private static RequestIds requestIds(BalancerConfig config, Consumer<String> log) {
+        if (config.handoverDirectory().isEmpty()) {
+            return RequestIds.inMemory();
+        }
+        try {
+            return RequestIds.sharedIn(config.handoverDirectory().get());
+        } catch (IOException e) {
+            log.accept("request ids not shared with the other process: reason=" + e);
+            return RequestIds.inMemory();
+        }
+    }
+
     private static Optional<RecoveryStore> openRecoveryStore(
             BalancerConfig config, Consumer<String> log) {
         LocalSettings settings = config.localSettings();
--- a/balancer/src/main/java/loadbalancer/server/WarmUp.java
+++ b/balancer/src/main/java/loadbalancer/server/WarmUp.java
@@ -19,6 +19,7 @@
 import loadbalancer.config.BootSettings;
 import loadbalancer.config.EndpointList;
 import loadbalancer.dispatch.Dispatcher;
+import loadbalancer.dispatch.RequestIds;
 import loadbalancer.http.WarmUpTraffic;
 import loadbalancer.proxy.FileDescriptorBudget;
 import loadbalancer.proxy.PeerMemory;
@@ -94,7 +95,15 @@
         RoutingPolicy policy = new RoutingEngine(boot.settings(), config.seed());
         Metrics metrics = new Metrics(boot.classNames());
         EventLog silentEvents = new EventLog(line -> {}, System::nanoTime);
-        dispatcher = new Dispatcher(loop, boot, policy, line -> {}, silentEvents, metrics);
+        dispatcher =
+                new Dispatcher(
+                        loop,
+                        boot,
+                        policy,
+                        line -> {},
+                        silentEvents,
+                        metrics,
+                        RequestIds.inMemory());
         FileDescriptorBudget descriptorBudget =
                 new FileDescriptorBudget(config.maxSockets(), false);
         Supplier<UpstreamPool> newPool =
--- a/balancer/src/test/java/loadbalancer/dispatch/DispatcherTest.java
+++ b/balancer/src/test/java/loadbalancer/dispatch/DispatcherTest.java
@@ -31,7 +31,8 @@
                 policy,
                 line -> {},
                 new EventLog(line -> {}, System::nanoTime),
-                new Metrics(boot.classNames()));
+                new Metrics(boot.classNames()),
+                RequestIds.inMemory());
     }
 
     @AfterEach
--- a/balancer/src/test/java/loadbalancer/dispatch/FinalResponsesTest.java
+++ b/balancer/src/test/java/loadbalancer/dispatch/FinalResponsesTest.java
@@ -37,7 +37,8 @@
             new DispatchContext(
                     channel.eventLoop(), boot, new MonotonicClock(), line -> {}, events, metrics);
     private final RecordingPolicy policy = new RecordingPolicy();
-    private final RequestTable requests = new RequestTable(channel.eventLoop());
+    private final RequestTable requests =
+            new RequestTable(channel.eventLoop(), RequestIds.inMemory());
     private final RecordingResponseSender sender = new RecordingResponseSender();
     private final FinalResponses responses =
             new FinalResponses(
--- a/balancer/src/test/java/loadbalancer/dispatch/RequestTableTest.java
+++ b/balancer/src/test/java/loadbalancer/dispatch/RequestTableTest.java
@@ -15,7 +15,8 @@
 /** Tests how long a request stays in the table and when the table is idle. */
 class RequestTableTest {
     private final EmbeddedChannel channel = new EmbeddedChannel();
-    private final RequestTable requests = new RequestTable(channel.eventLoop());
+    private final RequestTable requests =
+            new RequestTable(channel.eventLoop(), RequestIds.inMemory());
 
     @AfterEach
     void close() {
--- a/balancer/src/test/java/loadbalancer/http/EmbeddedFrontend.java
+++ b/balancer/src/test/java/loadbalancer/http/EmbeddedFrontend.java
@@ -17,6 +17,7 @@
 import loadbalancer.config.SettingsReader;
 import loadbalancer.dispatch.Dispatcher;
 import loadbalancer.dispatch.RecordingPolicy;
+import loadbalancer.dispatch.RequestIds;
 import loadbalancer.proxy.FileDescriptorBudget;
 import loadbalancer.proxy.PeerMemory;
 import loadbalancer.server.BalancerServerFixtures;
@@ -76,7 +77,8 @@
                         policy,
                         line -> {},
                         events,
-                        new Metrics(boot.classNames()));
+                        new Metrics(boot.classNames()),
+                        RequestIds.inMemory());
         context =
                 new FrontendContext(
                         loopChannel.eventLoop(),
--- a/balancer/src/test/java/loadbalancer/http/PeerMemoryTest.java
+++ b/balancer/src/test/java/loadbalancer/http/PeerMemoryTest.java
@@ -12,6 +12,7 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.concurrent.TimeUnit;
+import java.util.regex.Pattern;
 import loadbalancer.proxy.MemoryReservation;
 import loadbalancer.proxy.PeerMemory;
 import org.junit.jupiter.api.AfterEach;
@@ -55,6 +56,7 @@
 
     private final EmbeddedFrontend frontend = new EmbeddedFrontend();
     private final List<EmbeddedChannel> connected = new ArrayList<>();
+    private int nextId;
     private final PeerMemory memory = frontend.context().memory();
 
     @AfterEach
@@ -66,10 +68,17 @@
         EmbeddedChannel channel = new DuplexEmbeddedChannel();
         frontend.connect(channel);
         connected.add(channel);
-        frontend.receive(channel, text);
+        frontend.receive(channel, withNewIds(text));
         return channel;
     }
 
+    // Gives each request an id of its own, of the same length.
+    private String withNewIds(String text) {
+        return Pattern.compile("Req-Id: r1")
+                .matcher(text)
+                .replaceAll(match -> String.format("Req-Id: %02x", nextId++));
+    }
+
     private List<EmbeddedChannel> connectAndSend(int clients, String text) {
         List<EmbeddedChannel> channels = new ArrayList<>();
         for (int i = 0; i < clients; i++) {
@@ -149,7 +158,7 @@
     void memoryOfAnsweredRequestsIsReleased() {
         EmbeddedChannel client = connectAndSend("");
         for (int i = 0; i < 2 * MAX_BODIES; i++) {
-            frontend.receive(client, POST);
+            frontend.receive(client, withNewIds(POST));
             assertEquals(REQUEST_BYTES, requestBytes());
             frontend.rejectLastRequest();
             assertEquals(0, requestBytes());
--- a/balancer/src/test/java/loadbalancer/server/BodyStreamingTest.java
+++ b/balancer/src/test/java/loadbalancer/server/BodyStreamingTest.java
@@ -1,6 +1,7 @@
 package loadbalancer.server;
 
 import static loadbalancer.TestAwait.await;
+import static loadbalancer.server.BalancerServerFixtures.nonIdempotentHead;
 import static loadbalancer.server.FakeHttpServer.CHUNKED_HEAD;
 import static loadbalancer.server.FakeHttpServer.OK_STATUS_LINE;
 import static org.junit.jupiter.api.Assertions.assertArrayEquals;
@@ -125,7 +126,7 @@
         try (HttpTestClient client = new HttpTestClient(address)) {
             // The second request shows that the connection is usable after the first body.
             for (int i = 0; i < 2; i++) {
-                client.send(POST_HEAD + framing.header(length) + "\r\n");
+                client.send(nonIdempotentHead("r" + i) + framing.header(length) + "\r\n");
                 client.send(framing.encode(payload));
                 FakeHttpServer.ReceivedRequest receivedRequest = upstream.nextRequest();
                 assertArrayEquals(payload, receivedRequest.body());
@@ -300,7 +301,9 @@
             String postHead = POST_HEAD.replace("20000", "1000");
             stalledClient.send(postHead + "Content-Length: 300000\r\n\r\n");
             stalledClient.socket.getOutputStream().write(payload, 0, 100_000);
-            slowClient.send(postHead + "Content-Length: 300000\r\n\r\n");
+            slowClient.send(
+                    postHead.replace("Req-Id: r1", "Req-Id: slow")
+                            + "Content-Length: 300000\r\n\r\n");
             int pieceLength = payload.length / SLOW_UPLOAD_PIECES;
             for (int i = 0; i < SLOW_UPLOAD_PIECES; i++) {
                 slowClient.socket.getOutputStream().write(payload, i * pieceLength, pieceLength);
--- a/balancer/src/test/java/loadbalancer/server/RequestForwardingTest.java
+++ b/balancer/src/test/java/loadbalancer/server/RequestForwardingTest.java
@@ -174,7 +174,7 @@
             assertEquals(502, client.send(IDEMPOTENT_REQUEST.replace("20000", "150")).readStatus());
             assertEquals("gone", policy.nextEvent());
             assertTrue(
-                    logLines.get(logLines.size() - 2)
+                    logLines.get(logLines.size() - 3)
                             .startsWith("routing policy exception: count=1 "),
                     logLines.toString());
             policy.throwsOnRequest = false;
--- a/balancer/src/test/java/loadbalancer/server/RequestFramingTest.java
+++ b/balancer/src/test/java/loadbalancer/server/RequestFramingTest.java
@@ -5,6 +5,7 @@
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import java.io.IOException;
+import java.util.List;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
@@ -156,9 +157,10 @@
                         + "transfer-encoding: Chunked\r\n\r\n"
                         + "3;x=y\r\nabc\r\n00002\r\nde\r\n0\r\nX: y\r\n\r\n";
         try (HttpTestClient client = new HttpTestClient(address)) {
-            for (int i = 0; i < 2; i++) {
-                for (int offset = 0; offset < request.length(); offset++) {
-                    client.send(request.substring(offset, offset + 1));
+            for (String requestId : List.of("first", "second")) {
+                String text = request.replace("Req-Id: outer", "Req-Id: " + requestId);
+                for (int offset = 0; offset < text.length(); offset++) {
+                    client.send(text.substring(offset, offset + 1));
                 }
                 FakeHttpServer.ReceivedRequest receivedRequest = upstream.nextRequest();
                 assertEquals("abcde", receivedRequest.bodyText());
--- a/balancer/src/test/java/loadbalancer/server/SettingsVariantsTest.java
+++ b/balancer/src/test/java/loadbalancer/server/SettingsVariantsTest.java
@@ -96,7 +96,9 @@
     private static String request(String className, String idempotency, long deadlineMs) {
         boolean idempotent = idempotency.equals("safe");
         return (idempotent ? "GET" : "POST")
-                + " /x HTTP/1.1\r\nHost: x\r\nReq-Id: r\r\nReq-Kind: "
+                + " /x HTTP/1.1\r\nHost: x\r\nReq-Id: r "
+                + className
+                + "\r\nReq-Kind: "
                 + className
                 + "\r\n"
                 + (idempotency.equals("keyed") ? "Idempotency-Key: k\r\n" : "")
--- a/testbed/src/test/java/loadbalancer/PackageDependenciesTest.java
+++ b/testbed/src/test/java/loadbalancer/PackageDependenciesTest.java
@@ -65,7 +65,8 @@
                             "discovery",
                             "proxy",
                             "routing.api",
-                            "upstream")
+                            "upstream",
+                            "util")
                     .allow("http", "admin", "config", "dispatch", "proxy", "routing.api")
                     .allow(
                             "server",
