One peer gets a limited turn of the event loop, whatever the size of its messages

Cause: 128 KB of a connection are read in one turn, which are 21,000 chunks of one byte, and each was written and flushed to the upstream by itself, a system call each.

Change: the parts of a streamed body that one read brings are written together. Upstreams get four reads a turn, as clients do.

--- a/balancer/src/main/java/loadbalancer/http/ClientConnection.java
+++ b/balancer/src/main/java/loadbalancer/http/ClientConnection.java
@@ -189,6 +189,7 @@
 
     /** Counts the memory of an incomplete head, after received bytes have been decoded. */
     void onBytesDecoded() {
+        input.onDecoded();
         if (closing || input.reserveRetainedBytes()) {
             return;
         }
--- a/balancer/src/main/java/loadbalancer/http/ClientInput.java
+++ b/balancer/src/main/java/loadbalancer/http/ClientInput.java
@@ -3,6 +3,7 @@
 import io.netty.channel.Channel;
 import loadbalancer.proxy.MemoryReservation;
 import loadbalancer.proxy.PeerMemory;
+import loadbalancer.proxy.PeerReadAllocator;
 import loadbalancer.proxy.StrictFraming;
 
 /**
@@ -46,6 +47,13 @@
         arrivals.onRead(bytes);
     }
 
+    /** Limits the next reads if what was read consisted of many small messages. */
+    void onDecoded() {
+        if (decoder != null) {
+            PeerReadAllocator.reportMessages(channel, decoder.takeMessageCount());
+        }
+    }
+
     /** Records that everything that had arrived has been read. */
     void onEmpty() {
         arrivals.onEmpty();
--- a/balancer/src/main/java/loadbalancer/http/RequestReader.java
+++ b/balancer/src/main/java/loadbalancer/http/RequestReader.java
@@ -120,6 +120,14 @@
         }
     }
 
+    @Override
+    public void channelReadComplete(ChannelHandlerContext context) {
+        if (upload != null) {
+            upload.writePending();
+        }
+        context.fireChannelReadComplete();
+    }
+
     @Override
     public void channelWritabilityChanged(ChannelHandlerContext context) {
         connection.onWritabilityChanged();
--- a/balancer/src/main/java/loadbalancer/proxy/BodyRelay.java
+++ b/balancer/src/main/java/loadbalancer/proxy/BodyRelay.java
@@ -134,7 +134,11 @@
         return !source.config().isAutoRead();
     }
 
-    /** Adds a part of the body; takes ownership of it and releases it after its write. */
+    /**
+     * Adds a part of the body; takes ownership of it and releases it after its write. The parts of
+     * one read are written together, by a call of {@link #writePending} after the read: a write for
+     * each would let a source of many small parts take most of the event loop.
+     */
     public void add(ByteBuf part) {
         if (finished || !part.isReadable()) {
             part.release();
@@ -142,7 +146,9 @@
         }
         addPending(part);
         lastProgressNanos = System.nanoTime();
-        writePending();
+        if (sink == null || bufferedBytes >= MAX_BUFFERED_BYTES) {
+            writePending();
+        }
     }
 
     // A small part is a slice of a larger buffer, which it would retain, so it is copied behind the
@@ -259,7 +265,7 @@
         }
     }
 
-    /** Continues writing; called when the sink has become writable. */
+    /** Continues writing; called when the sink has become writable, and after each read. */
     public void writePending() {
         if (writing || finished) {
             return;
--- a/balancer/src/main/java/loadbalancer/proxy/StrictFraming.java
+++ b/balancer/src/main/java/loadbalancer/proxy/StrictFraming.java
@@ -27,6 +27,7 @@
     /** Decodes clients' requests. */
     public static final class RequestDecoder extends HttpRequestDecoder {
         private final HeadMemoryMeter meter = new HeadMemoryMeter();
+        private int messageCount;
 
         /** Returns whether received bytes remain that are not decoded yet. */
         public boolean hasUndecodedBytes() {
@@ -44,9 +45,19 @@
             int bytesBefore = input.readableBytes();
             super.decode(context, input, output);
             meter.onConsumed(bytesBefore - input.readableBytes());
+            messageCount += output.size();
             completeHead(meter, output);
         }
 
+        /**
+         * Returns the number of messages decoded since the last call; each part of a body is one.
+         */
+        public int takeMessageCount() {
+            int count = messageCount;
+            messageCount = 0;
+            return count;
+        }
+
         @Override
         protected HttpMessage createMessage(String[] startLine) throws Exception {
             meter.onStartLine();
@@ -70,6 +81,7 @@
     /** Decodes upstreams' responses. */
     public static final class ResponseDecoder extends HttpResponseDecoder {
         private final HeadMemoryMeter meter = new HeadMemoryMeter();
+        private int messageCount;
 
         /** Returns whether received bytes remain that are not decoded yet. */
         public boolean hasUndecodedBytes() {
@@ -87,9 +99,19 @@
             int bytesBefore = input.readableBytes();
             super.decode(context, input, output);
             meter.onConsumed(bytesBefore - input.readableBytes());
+            messageCount += output.size();
             completeHead(meter, output);
         }
 
+        /**
+         * Returns the number of messages decoded since the last call; each part of a body is one.
+         */
+        public int takeMessageCount() {
+            int count = messageCount;
+            messageCount = 0;
+            return count;
+        }
+
         @Override
         protected HttpMessage createMessage(String[] startLine) {
             meter.onStartLine();
--- a/balancer/src/main/java/loadbalancer/upstream/ResponseReader.java
+++ b/balancer/src/main/java/loadbalancer/upstream/ResponseReader.java
@@ -22,6 +22,7 @@
 import loadbalancer.proxy.ByteSizes;
 import loadbalancer.proxy.MemoryReservation;
 import loadbalancer.proxy.PeerMemory;
+import loadbalancer.proxy.PeerReadAllocator;
 import loadbalancer.proxy.StrictFraming;
 import loadbalancer.routing.api.AttemptOutcome;
 import loadbalancer.routing.api.LoadReport;
@@ -238,6 +239,10 @@
     // response to the request and the connection is closed.
     @Override
     public void channelReadComplete(ChannelHandlerContext context) {
+        PeerReadAllocator.reportMessages(connection.channel(), decoder.takeMessageCount());
+        if (download != null) {
+            download.writePending();
+        }
         FullHttpResponse response = completeResponse;
         if (!decoderMemory.resizeTo(decoder.retainedBytes())) {
             connection.failMalformed("no memory left for its head");
--- a/balancer/src/main/java/loadbalancer/upstream/UpstreamConnector.java
+++ b/balancer/src/main/java/loadbalancer/upstream/UpstreamConnector.java
@@ -13,7 +13,7 @@
 
 /** Opens connections to endpoints and sets up their pipelines. Event loop thread only. */
 final class UpstreamConnector {
-    private static final int MAX_READS_PER_LOOP = 16;
+    private static final int MAX_READS_PER_LOOP = 4;
     private static final ByteBufAllocator HEAP_ALLOCATOR = new UnpooledByteBufAllocator(false);
 
     private final PoolContext context;
--- a/balancer/src/test/java/loadbalancer/http/ResponseWriterTest.java
+++ b/balancer/src/test/java/loadbalancer/http/ResponseWriterTest.java
@@ -48,6 +48,7 @@
 
     private void receiveBody(String text) {
         body.add(Unpooled.copiedBuffer(text, StandardCharsets.US_ASCII));
+        body.writePending();
     }
 
     private String written() {
--- a/balancer/src/test/java/loadbalancer/proxy/BodyRelayTest.java
+++ b/balancer/src/test/java/loadbalancer/proxy/BodyRelayTest.java
@@ -21,9 +21,9 @@
     private final EmbeddedChannel source = new EmbeddedChannel();
     private final EmbeddedChannel sink = new EmbeddedChannel();
     private final List<String> events = new ArrayList<>();
+    private final MemoryBudget memory = new MemoryBudget(1_000_000);
     private final BodyRelay relay =
-            new BodyRelay(
-                    source, new MemoryBudget(1_000_000), false, () -> events.add("discarded"));
+            new BodyRelay(source, memory, false, () -> events.add("discarded"));
 
     private final BodyRelay.Listener listener =
             new BodyRelay.Listener() {
@@ -59,6 +59,39 @@
         written.release();
     }
 
+    /** A write for each would let a source of many small parts take most of the event loop. */
+    @Test
+    void smallPartsOfOneReadAreWrittenTogether() {
+        relay.writeTo(sink, listener);
+        for (int i = 0; i < 1_000; i++) {
+            relay.add(part(1));
+        }
+        assertNull(sink.readOutbound());
+        relay.writePending();
+        int parts = 0;
+        int bytes = 0;
+        for (HttpContent written = sink.readOutbound();
+                written != null;
+                written = sink.readOutbound()) {
+            parts++;
+            bytes += written.content().readableBytes();
+            written.release();
+        }
+        assertEquals(1_000, bytes);
+        assertTrue(parts <= 2, parts + " parts");
+    }
+
+    /** A slice of a few bytes would retain the buffer of the whole read. */
+    @Test
+    void memoryOfSmallPartsIsThatOfTheirCopies() {
+        for (int i = 0; i < 1_000; i++) {
+            relay.add(part(BodyRelay.MAX_BUFFERED_BYTES).readSlice(10));
+        }
+        assertTrue(memory.usedBytes() < 20_000, memory.usedBytes() + " bytes");
+        relay.discard();
+        assertEquals(0, memory.usedBytes());
+    }
+
     @Test
     void lastPartIsWrittenIfTheSourceIsConnected() {
         relay.writeTo(sink, listener);
