Ever new keys and ended attempts no longer accumulate in the routing policy

Cause: the traffic by key kept each key for 7 s without a limit on their number, and all of them were scanned ten times a second. An endpoint kept ended attempts, with their requests, until all earlier ones had ended: behind one upload of many minutes all later attempts at that endpoint stayed in the heap.

Change: at most 16,384 keys are counted; a further one counts as having no other requests. An endpoint keeps the attempts in flight only.

--- a/balancer/src/main/java/loadbalancer/routing/endpoint/Attempt.java
+++ b/balancer/src/main/java/loadbalancer/routing/endpoint/Attempt.java
@@ -84,7 +84,7 @@
         inFlight = false;
         mayHaveRun = mayHaveRunAfterOutcome;
         request.onAttemptEnded();
-        endpoint.onAttemptEnded();
+        endpoint.onAttemptEnded(this);
         classEjection.onAttemptEnded();
     }
 
--- a/balancer/src/main/java/loadbalancer/routing/endpoint/EndpointState.java
+++ b/balancer/src/main/java/loadbalancer/routing/endpoint/EndpointState.java
@@ -1,6 +1,8 @@
 package loadbalancer.routing.endpoint;
 
 import java.util.ArrayDeque;
+import java.util.LinkedHashSet;
+import java.util.Set;
 import java.util.stream.Stream;
 import loadbalancer.routing.api.Endpoint;
 import loadbalancer.routing.api.LoadReport;
@@ -36,7 +38,7 @@
     // never need them.
     private int inFlight;
     private double accomplishment;
-    private ArrayDeque<Attempt> dispatchedAttempts;
+    private Set<Attempt> attemptsInFlight;
     private ArrayDeque<Long> penaltyExpiriesMicros;
     private double reportedInFlight;
     private long reportedAtMicros;
@@ -177,32 +179,30 @@
      * @param accomplishmentIncrement current weight of one dispatch
      */
     void onDispatched(Attempt attempt, double accomplishmentIncrement) {
-        dispatchedAttempts = dispatchedAttempts == null ? new ArrayDeque<>(1) : dispatchedAttempts;
-        dispatchedAttempts.add(attempt);
+        attemptsInFlight = attemptsInFlight == null ? new LinkedHashSet<>(2) : attemptsInFlight;
+        attemptsInFlight.add(attempt);
         markActive();
         inFlight++;
         accomplishment += accomplishmentIncrement;
         slowStartTokens--;
     }
 
-    /** Counts the end of an attempt, which must already be marked as no longer in flight. */
-    void onAttemptEnded() {
+    /** Counts the end of an attempt. */
+    void onAttemptEnded(Attempt attempt) {
         inFlight--;
-        dropEndedAttempts();
+        attemptsInFlight.remove(attempt);
     }
 
     /** Returns the attempt that has been in flight the longest, or null if there is none. */
     public Attempt oldestInFlight() {
-        dropEndedAttempts();
-        return dispatchedAttempts == null ? null : dispatchedAttempts.peekFirst();
+        return attemptsInFlight == null || attemptsInFlight.isEmpty()
+                ? null
+                : attemptsInFlight.iterator().next();
     }
 
-    private void dropEndedAttempts() {
-        while (dispatchedAttempts != null
-                && !dispatchedAttempts.isEmpty()
-                && !dispatchedAttempts.peekFirst().isInFlight()) {
-            dispatchedAttempts.pollFirst();
-        }
+    /** Returns the number of attempts that this endpoint retains. */
+    int retainedAttempts() {
+        return attemptsInFlight == null ? 0 : attemptsInFlight.size();
     }
 
     /**
--- a/balancer/src/main/java/loadbalancer/routing/endpoint/TrafficCounters.java
+++ b/balancer/src/main/java/loadbalancer/routing/endpoint/TrafficCounters.java
@@ -19,6 +19,9 @@
     private static final double MIN_RATE_WINDOW_MICROS = 2e6;
     private static final double MAX_SCALE = 1e60;
 
+    /** Each key takes some 100 bytes of heap for the 7 s after its last request. */
+    private static final int MAX_KEYS = 16_384;
+
     private final Map<Long, Double> requestsByKey = new HashMap<>();
     private double arrivals;
     private double rejections;
@@ -62,9 +65,19 @@
         arrivals += requests;
     }
 
-    /** Counts a request for a key. */
+    /**
+     * Counts a request for a key. While the largest number of keys is counted, further ones are
+     * not: they count as having no other requests, which is true of most new keys.
+     */
     public void recordKey(long keyHash) {
-        requestsByKey.merge(keyHash, scale, Double::sum);
+        if (requestsByKey.size() < MAX_KEYS || requestsByKey.containsKey(keyHash)) {
+            requestsByKey.merge(keyHash, scale, Double::sum);
+        }
+    }
+
+    /** Returns the number of keys that are counted. */
+    int countedKeys() {
+        return requestsByKey.size();
     }
 
     /** Counts attempts that an endpoint rejected or that could not be sent. */
--- a/balancer/src/test/java/loadbalancer/routing/endpoint/EndpointStateTest.java
+++ b/balancer/src/test/java/loadbalancer/routing/endpoint/EndpointStateTest.java
@@ -56,6 +56,17 @@
         assertNull(endpoint.oldestInFlight());
     }
 
+    /** A long upload may stay in flight for minutes, while thousands of others come and go. */
+    @Test
+    void endedAttemptsAreNotRetainedBehindOneInFlight() {
+        Attempt upload = sentAttempt("upload");
+        for (int i = 0; i < 1_000; i++) {
+            sentAttempt("r" + i).recordEnd(true);
+        }
+        assertSame(upload, endpoint.oldestInFlight());
+        assertEquals(1, endpoint.retainedAttempts());
+    }
+
     @Test
     void penaltyOccupiesSlotUntilItExpires() {
         endpoint.addPenalty(NOW + 100);
