A request is forwarded only if its client's close can't be behind unread bytes

Cause: a close is seen only behind everything sent before it. The check before a request is processed read at most 512 KB and then took the client for connected; for a request whose long body waits behind another one it did not read at all, as the body's memory is limited.

Change: the check has a third result. If more is unread than it may read, and no byte has arrived lately, the request waits while its connection's turns read on; a client whose bytes arrive is connected, so that one that floods its connection still gets its responses. A long body that has waited, and behind whose unread part a close may be hidden for more than 0.1 s, is refused with 503 instead of forwarded, and so is a further attempt of it. ClientCloseDetector takes this out of ClientConnection.

Measured: ClientDisconnectTest.longBodyBehindAnotherRequestOfDisconnectedClientIsNotForwarded and three cases of ClientLivenessTest, which fail without the change.

--- a/balancer/src/main/java/loadbalancer/dispatch/AttemptRunner.java
+++ b/balancer/src/main/java/loadbalancer/dispatch/AttemptRunner.java
@@ -71,6 +71,7 @@
     private boolean canSend(ExchangeAttempt attempt, long attemptTimeoutMicros) {
         Exchange exchange = attempt.exchange();
         return !exchange.isClosed()
+                && !exchange.responseSender().isCloseHidden()
                 && attemptTimeoutMicros > 0
                 && attempt.number() < context.boot().settings().limits().maxAttempts()
                 && exchange.proxyRequest().isReplayable();
--- a/balancer/src/main/java/loadbalancer/dispatch/ResponseSender.java
+++ b/balancer/src/main/java/loadbalancer/dispatch/ResponseSender.java
@@ -10,6 +10,12 @@
     /** Checks the connection and returns whether the client is still connected. */
     boolean isClientConnected();
 
+    /**
+     * Returns whether the client may have disconnected too long ago for an attempt to begin,
+     * without a way to find out: its close may be behind a long body that is not read.
+     */
+    boolean isCloseHidden();
+
     /**
      * Returns the time in µs since the earliest time at which the client can have sent the last
      * byte of the request's body, whether it has been read or not; 0 if it can't have sent it yet.
--- a/balancer/src/main/java/loadbalancer/http/ClientConnection.java
+++ b/balancer/src/main/java/loadbalancer/http/ClientConnection.java
@@ -36,10 +36,10 @@
 
     private final Channel channel;
     private final FrontendContext context;
-    private final ClientLiveness liveness;
     private final RequestTimeoutHandler requestTimeout;
     private final ClientInput input;
     private final RequestReader reader;
+    private final ClientCloseDetector closeDetector;
     private final ResponseWriter responseWriter;
     private final ArrayDeque<BufferedRequest> pipelinedRequests = new ArrayDeque<>();
     private final long connectionNumber;
@@ -66,11 +66,10 @@
         this.channel = channel;
         this.context = context;
         this.connectionNumber = context.connections().nextConnectionNumber();
-        this.liveness =
-                new ClientLiveness(channel, ClientListener.MAX_READS_PER_LOOP, this::onInputEmpty);
-        this.requestTimeout = new RequestTimeoutHandler(this, context.loop());
         this.input = new ClientInput(channel, context.memory());
+        this.requestTimeout = new RequestTimeoutHandler(this, context.loop());
         this.reader = new RequestReader(this, channel, context);
+        this.closeDetector = new ClientCloseDetector(channel, reader, input);
         this.responseWriter = new ResponseWriter(this, channel);
     }
 
@@ -78,7 +77,7 @@
     void open() {
         channel.pipeline()
                 .addLast(
-                        liveness,
+                        closeDetector.readHandler(),
                         requestTimeout,
                         input.newDecoder(),
                         new HttpResponseEncoder(),
@@ -145,13 +144,8 @@
         return lastProgressNanos;
     }
 
-    /**
-     * Returns whether the client has disconnected. Reads from the socket if necessary, except while
-     * a long body is received: its relay then detects the client's close, within its limit on
-     * buffered bytes.
-     */
-    boolean isDisconnected() {
-        return reader.isRelayReading() ? !channel.isActive() : liveness.isDisconnected();
+    ClientCloseDetector closeDetector() {
+        return closeDetector;
     }
 
     /**
@@ -160,7 +154,7 @@
      */
     boolean confirmStalled() {
         long progressBefore = lastProgressNanos;
-        return !liveness.isDisconnected() && lastProgressNanos == progressBefore;
+        return !closeDetector.isDisconnectedNow() && lastProgressNanos == progressBefore;
     }
 
     /** Handles the receipt of bytes, before they are decoded. */
@@ -183,10 +177,6 @@
         return input.nanosSinceLastByte(!reader.isRelayReading());
     }
 
-    private void onInputEmpty() {
-        input.onEmpty();
-    }
-
     /** Counts the memory of an incomplete head, after received bytes have been decoded. */
     void onBytesDecoded() {
         input.onDecoded();
@@ -194,7 +184,7 @@
             return;
         }
         if (!context.connections().evictStalledHolders(this) || !input.reserveRetainedBytes()) {
-            refuseIncompleteRequest(null);
+            refuseIncompleteRequest(null, RequestReader.NO_MEMORY);
         }
     }
 
@@ -247,15 +237,27 @@
     }
 
     private void processNextRequest() {
-        if (!channel.isActive() || (!pipelinedRequests.isEmpty() && isDisconnected())) {
+        if (!channel.isActive()) {
             return;
         }
+        if (!pipelinedRequests.isEmpty()) {
+            ClientLiveness.State state = closeDetector.check();
+            if (state == ClientLiveness.State.UNKNOWN) {
+                // What is unread is read in the turns of this connection, and the request waits.
+                context.loop().execute(this::processNextRequest);
+            }
+            if (state != ClientLiveness.State.CONNECTED) {
+                return;
+            }
+        }
         phase = RequestPhase.NONE;
         BufferedRequest next = pipelinedRequests.poll();
         if (next != null) {
             beginRequest(next.request(), next.memory());
             context.requestProcessor().process(this, next.request());
             next.request().release();
+        } else if (reader.hasUpload() && closeDetector.isCloseHidden()) {
+            reader.refuseUpload();
         } else if (reader.hasUpload()) {
             reader.forwardUpload();
         } else if (refusalPending) {
@@ -340,13 +342,13 @@
     }
 
     /**
-     * Refuses an incomplete request that exceeds the memory for requests. The client gets a 503
-     * after the responses to its earlier requests, and its later requests are dropped.
+     * Refuses a request that is not processed. The client gets a 503 after the responses to its
+     * earlier requests, and its later requests are dropped.
      *
      * @param request the head of the request; null if that is incomplete
      */
-    void refuseIncompleteRequest(HttpRequest request) {
-        logRejection(request, "no memory left for buffered requests");
+    void refuseIncompleteRequest(HttpRequest request, String reason) {
+        logRejection(request, reason);
         requestTimeout.cancel();
         if (isRequestInProgress()) {
             refusalPending = true;
--- a/balancer/src/main/java/loadbalancer/http/ClientResponseSender.java
+++ b/balancer/src/main/java/loadbalancer/http/ClientResponseSender.java
@@ -44,7 +44,12 @@
 
     @Override
     public boolean isClientConnected() {
-        return !connection.isDisconnected();
+        return !connection.closeDetector().isDisconnected();
+    }
+
+    @Override
+    public boolean isCloseHidden() {
+        return connection.closeDetector().isCloseHidden();
     }
 
     @Override
--- a/balancer/src/main/java/loadbalancer/http/RequestReader.java
+++ b/balancer/src/main/java/loadbalancer/http/RequestReader.java
@@ -32,6 +32,9 @@
     /** The length of the longest body that is buffered; longer ones are streamed. */
     static final int MAX_BUFFERED_BODY_BYTES = BodyRelay.MAX_BUFFERED_BYTES;
 
+    /** The reason for refusing a request that does not fit into the memory. */
+    static final String NO_MEMORY = "no memory left for buffered requests";
+
     private static final int MAX_BODY_BYTES = 32 * 1024 * 1024;
 
     /** The state of a streamed body and its request. */
@@ -145,7 +148,7 @@
         headBytes = BufferedRequest.headBytes(request);
         connection.requestTimeout().onRequestHead();
         if (!reserve(headBytes)) {
-            abortAndRefuse();
+            abortAndRefuse(NO_MEMORY);
         } else if (!request.decoderResult().isSuccess()) {
             // Treated as complete, so that it is rejected: nothing after it can be decoded.
             onRequestComplete();
@@ -177,7 +180,7 @@
             startUpload();
         }
         if (upload == null && !reserve(headBytes + ByteSizes.nextPowerOfTwo((int) bodyBytes))) {
-            abortAndRefuse();
+            abortAndRefuse(NO_MEMORY);
             return;
         }
         boolean isLast = content instanceof LastHttpContent;
@@ -256,10 +259,10 @@
         connection.rejectIncompleteRequest(request, status);
     }
 
-    private void abortAndRefuse() {
+    private void abortAndRefuse(String reason) {
         HttpRequest request = requestHead;
         abortRequest();
-        connection.refuseIncompleteRequest(request);
+        connection.refuseIncompleteRequest(request, reason);
     }
 
     private void abortRequest() {
@@ -312,6 +315,11 @@
         }
     }
 
+    /** Refuses a request with a streamed body that has waited, instead of submitting it. */
+    void refuseUpload() {
+        abortAndRefuse("its client may have disconnected");
+    }
+
     private void onUploadReceived() {
         connection.onUploadReceived();
         if (uploadState == UploadState.FORWARDING) {
--- a/balancer/src/test/java/loadbalancer/dispatch/RecordingResponseSender.java
+++ b/balancer/src/test/java/loadbalancer/dispatch/RecordingResponseSender.java
@@ -48,6 +48,11 @@
         return connected;
     }
 
+    @Override
+    public boolean isCloseHidden() {
+        return false;
+    }
+
     @Override
     public long microsSinceBodySent() {
         return 0;
--- a/balancer/src/test/java/loadbalancer/http/ClientLivenessTest.java
+++ b/balancer/src/test/java/loadbalancer/http/ClientLivenessTest.java
@@ -8,6 +8,7 @@
 import io.netty.channel.ChannelInboundHandlerAdapter;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.concurrent.TimeUnit;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.Test;
 
@@ -15,9 +16,11 @@
 class ClientLivenessTest {
     private static final int MAX_READS_PER_LOOP = 2;
 
+    // What the system says about the receive buffer.
+    private int unreadBytes;
     private final UnreadInputChannel channel = new UnreadInputChannel();
     private final ClientLiveness liveness =
-            new ClientLiveness(channel, MAX_READS_PER_LOOP, () -> {});
+            new ClientLiveness(channel, MAX_READS_PER_LOOP, () -> unreadBytes, () -> {});
     private final List<Object> handled = new ArrayList<>();
     private Runnable onMessage = () -> {};
 
@@ -99,4 +102,36 @@
         assertTrue(liveness.isDisconnected());
         assertEquals(0, channel.readCalls());
     }
+
+    @Test
+    void closeBehindMoreThanOneCheckReadsIsUnknown() {
+        open();
+        unreadBytes = 1;
+        for (int i = 0; i < 5; i++) {
+            channel.addBatch(MAX_READS_PER_LOOP);
+        }
+        channel.addClose();
+        assertEquals(ClientLiveness.State.UNKNOWN, liveness.check());
+        assertEquals(ClientLiveness.State.DISCONNECTED, liveness.check());
+    }
+
+    /** A client that floods its connection is connected as long as bytes arrive. */
+    @Test
+    void clientWhoseBytesArriveIsConnected() {
+        open();
+        assertFalse(liveness.isCloseHidden());
+        unreadBytes = 1_000;
+        assertFalse(liveness.isCloseHidden());
+    }
+
+    @Test
+    void closeMayBeHiddenBehindBytesThatArrivedLongAgo() throws InterruptedException {
+        open();
+        unreadBytes = 1_000;
+        liveness.isCloseHidden();
+        TimeUnit.MILLISECONDS.sleep(150);
+        assertTrue(liveness.isCloseHidden());
+        unreadBytes = 0;
+        assertFalse(liveness.isCloseHidden());
+    }
 }
--- a/balancer/src/test/java/loadbalancer/server/ClientDisconnectTest.java
+++ b/balancer/src/test/java/loadbalancer/server/ClientDisconnectTest.java
@@ -319,6 +319,24 @@
         }
     }
 
+    /**
+     * The client disconnects while a long body waits behind another request, and so its close is
+     * behind more than is read of the body.
+     */
+    @Test
+    void longBodyBehindAnotherRequestOfDisconnectedClientIsNotForwarded() throws Exception {
+        start();
+        HttpTestClient client = new HttpTestClient(address);
+        client.send(nonIdempotentHead("first") + "Content-Length: 0\r\n\r\n");
+        FakeHttpServer.ReceivedRequest first = upstream.nextRequest();
+        Thread sender = sendLongBodyAndDisconnect(client, false);
+        sender.join(BUFFER_FILL_WAIT_MS);
+        pauseAfterDisconnect();
+        first.respond(200, "", "first");
+        pauseAfterDisconnect();
+        assertEquals(1, policy.acceptedRequests.size(), "the long request was submitted");
+    }
+
     private static Thread sendLongBodyAndDisconnect(HttpTestClient client, boolean chunked) {
         Thread sender =
                 new Thread(
