The time of a pipelined request counts from its last byte, not from its turn

Cause: the time that a request had waited behind another one of its connection was not subtracted.

Change: a buffered request carries the time at which its last byte was read, and enters the dispatcher with what is left.

Measured: RequestFramingTest.pipelinedRequestTellsTheUpstreamOnlyTheTimeThatIsLeft; 0.4 s behind another request the upstream was told all of 20 s before.

--- a/balancer/src/main/java/loadbalancer/http/ClientConnection.java
+++ b/balancer/src/main/java/loadbalancer/http/ClientConnection.java
@@ -254,7 +254,7 @@
         BufferedRequest next = pipelinedRequests.poll();
         if (next != null) {
             beginRequest(next.request(), next.memory());
-            context.requestProcessor().process(this, next.request());
+            context.requestProcessor().process(this, next);
             next.request().release();
         } else if (reader.hasUpload() && closeDetector.isCloseHidden()) {
             reader.refuseUpload();
--- a/balancer/src/main/java/loadbalancer/http/RequestProcessor.java
+++ b/balancer/src/main/java/loadbalancer/http/RequestProcessor.java
@@ -41,7 +41,8 @@
     }
 
     /** Processes a complete request; the caller releases it. */
-    void process(ClientConnection connection, FullHttpRequest request) {
+    void process(ClientConnection connection, BufferedRequest received) {
+        FullHttpRequest request = received.request();
         String path = request.uri();
         if (!request.decoderResult().isSuccess()) {
             connection.logRejection(request, "malformed: " + request.decoderResult().cause());
@@ -56,7 +57,8 @@
                     request,
                     ByteBufUtil.getBytes(request.content()),
                     null,
-                    request.content().readableBytes());
+                    request.content().readableBytes(),
+                    received.waitedMicros());
         }
     }
 
@@ -65,7 +67,13 @@
         if (request.uri().startsWith(RESERVED_PREFIX)) {
             connection.sendText(HttpResponseStatus.NOT_FOUND, "not found", false);
         } else {
-            submit(connection, request, new byte[0], body, HttpUtil.getContentLength(request, -1L));
+            submit(
+                    connection,
+                    request,
+                    new byte[0],
+                    body,
+                    HttpUtil.getContentLength(request, -1L),
+                    0);
         }
     }
 
@@ -107,10 +115,14 @@
             HttpRequest request,
             byte[] body,
             BodyRelay streamedBodyOrNull,
-            long contentLength) {
+            long contentLength,
+            long waitedMicros) {
         ProxyRequest proxyRequest;
         try {
-            proxyRequest = requestParser.parse(request, body, streamedBodyOrNull, contentLength);
+            proxyRequest =
+                    requestParser
+                            .parse(request, body, streamedBodyOrNull, contentLength)
+                            .afterWaiting(waitedMicros);
         } catch (IllegalArgumentException e) {
             // Includes the exceptions of Netty's headers for malformed names and values.
             connection.logRejection(request, e.getMessage());
--- a/balancer/src/main/java/loadbalancer/http/RequestReader.java
+++ b/balancer/src/main/java/loadbalancer/http/RequestReader.java
@@ -233,7 +233,7 @@
         request.setDecoderResult(requestHead.decoderResult());
         requestHead = null;
         bufferedBody = null;
-        connection.onRequestReceived(new BufferedRequest(request, takeMemory()));
+        connection.onRequestReceived(new BufferedRequest(request, takeMemory(), System.nanoTime()));
     }
 
     private MemoryReservation takeMemory() {
--- a/balancer/src/main/java/loadbalancer/proxy/ProxyRequest.java
+++ b/balancer/src/main/java/loadbalancer/proxy/ProxyRequest.java
@@ -83,6 +83,26 @@
                 contentLength);
     }
 
+    /** Returns a copy of the request whose client has waited for {@code waitedMicros} since. */
+    public ProxyRequest afterWaiting(long waitedMicros) {
+        if (waitedMicros == 0) {
+            return this;
+        }
+        return new ProxyRequest(
+                method,
+                uri,
+                headers,
+                body,
+                requestClass,
+                tenant,
+                key,
+                Math.max(1, timeLeftMicros - waitedMicros),
+                workEstimate,
+                resubmission,
+                upload,
+                contentLength);
+    }
+
     /** Returns whether the whole request can be sent again: no streamed body has been started. */
     public boolean isReplayable() {
         return upload == null || !upload.hasStarted();
--- a/balancer/src/test/java/loadbalancer/server/RequestFramingTest.java
+++ b/balancer/src/test/java/loadbalancer/server/RequestFramingTest.java
@@ -6,6 +6,7 @@
 
 import java.io.IOException;
 import java.util.List;
+import java.util.concurrent.TimeUnit;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
@@ -18,6 +19,7 @@
 class RequestFramingTest extends UpstreamBackedTestSupport {
     private static final String INNER_REQUEST = BalancerServerFixtures.requestWithId("inner");
     private static final String OUTER_HEAD = BalancerServerFixtures.nonIdempotentHead("outer");
+    private static final int WAIT_MS = 400;
     private static final int MAX_PIPELINED_REQUESTS = 17;
 
     @BeforeEach
@@ -150,6 +152,25 @@
         assertEquals(MAX_PIPELINED_REQUESTS, policy.acceptedRequests.size());
     }
 
+    /** The time of a request that waits behind another one counts from its last byte. */
+    @Test
+    void pipelinedRequestTellsTheUpstreamOnlyTheTimeThatIsLeft() throws Exception {
+        try (HttpTestClient client = new HttpTestClient(address)) {
+            client.send(
+                    BalancerServerFixtures.requestWithId("first")
+                            + BalancerServerFixtures.requestWithId("second"));
+            FakeHttpServer.ReceivedRequest first = upstream.nextRequest();
+            TimeUnit.MILLISECONDS.sleep(WAIT_MS);
+            first.respond(200, "", "ok");
+            FakeHttpServer.ReceivedRequest second = upstream.nextRequest();
+            int timeLeftMs = Integer.parseInt(second.header("Req-Deadline-Ms"));
+            assertTrue(timeLeftMs <= 20_000 - WAIT_MS, timeLeftMs + " ms left");
+            second.respond(200, "", "ok");
+            assertEquals(200, client.readStatus());
+            assertEquals(200, client.readStatus());
+        }
+    }
+
     @Test
     void chunkedBodyMayArriveByteByByte() throws Exception {
         String request =
