Endpoints that have left are removed also where settings limit no idle time

Cause: the timer that removes them a minute after their drain was started only where idle connections are closed, so that endpoints that came and went stayed in the pool's table for good. Found by walking all maps that a peer, here discovery, can fill.

--- a/balancer/src/main/java/loadbalancer/upstream/IdleConnectionEvictor.java
+++ b/balancer/src/main/java/loadbalancer/upstream/IdleConnectionEvictor.java
@@ -5,8 +5,9 @@
 import java.util.concurrent.TimeUnit;
 
 /**
- * Closes connections that have been idle for too long, by a timer that it owns, and the longest
- * idle connection when a file descriptor is needed. Event loop thread only.
+ * Closes connections that have been idle for too long and removes endpoints that have left, by a
+ * timer that it owns, and closes the longest idle connection when a file descriptor is needed.
+ * Event loop thread only.
  */
 final class IdleConnectionEvictor {
     private static final long MIN_SWEEP_INTERVAL_MICROS = 10_000;
@@ -31,11 +32,8 @@
         this.endpointPools = endpointPools;
     }
 
-    /** Starts the timer if the idle time of connections is limited. */
+    /** Starts the timer, which removes drained endpoints also if idle connections stay open. */
     void start() {
-        if (context.maxIdleMicros() == Long.MAX_VALUE) {
-            return;
-        }
         long intervalMicros =
                 Math.max(
                         MIN_SWEEP_INTERVAL_MICROS,
