A buffered response is given up after 2.2 s without progress, not 2.2 s in all

Cause: the timer of a response that a client does not read counted from its write, so that a client that read slowly was cut off amid a response of up to 64 KiB. Found by walking all timers; not seen on loopback, whose buffers take in such a response.

Change: the timer starts again as long as the client has taken some of the response.

Measured: ResponseWriterTest.clientThatReadsItsResponseSlowlyKeepsItsConnection (five reads of 10 bytes in 11 s; failed before after 2.2 s); a client that reads nothing is dropped after 2.2 s as before.

--- a/balancer/src/main/java/loadbalancer/http/ResponseWriter.java
+++ b/balancer/src/main/java/loadbalancer/http/ResponseWriter.java
@@ -4,6 +4,7 @@
 import io.netty.buffer.Unpooled;
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelFuture;
+import io.netty.channel.ChannelOutboundBuffer;
 import io.netty.channel.socket.SocketChannel;
 import io.netty.handler.codec.http.DefaultFullHttpResponse;
 import io.netty.handler.codec.http.DefaultHttpResponse;
@@ -17,6 +18,7 @@
 import java.nio.charset.StandardCharsets;
 import java.util.concurrent.Future;
 import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicLong;
 import java.util.function.Consumer;
 import loadbalancer.proxy.BodyRelay;
 
@@ -30,6 +32,8 @@
 
     private final ClientConnection connection;
     private final Channel channel;
+    // Null unless a complete response is being written.
+    private Future<?> writeTimeout;
     // The body of the response that is being streamed, or null.
     private BodyRelay streamedBody;
 
@@ -56,7 +60,7 @@
     }
 
     /**
-     * Writes a complete response. A client that does not read it in time is dropped, so that unread
+     * Writes a complete response. A client that stops reading it is dropped, so that unread
      * responses do not accumulate in memory.
      *
      * @param keepOpen whether the connection serves further requests
@@ -67,11 +71,14 @@
             response.headers().set(HttpHeaderNames.CONNECTION, HttpHeaderValues.CLOSE);
         }
         ChannelFuture writeFuture = channel.writeAndFlush(response);
-        Future<?> writeTimeout = writeFuture.isDone() ? null : startWriteTimeout();
+        if (!writeFuture.isDone()) {
+            startWriteTimeout();
+        }
         writeFuture.addListener(
                 done -> {
                     if (writeTimeout != null) {
                         writeTimeout.cancel(false);
+                        writeTimeout = null;
                     }
                     if (uploadUnfinished && done.isSuccess()) {
                         LingeringClose.start(channel, UPLOAD_LINGER_TIMEOUT_MS);
@@ -81,12 +88,39 @@
                 });
     }
 
-    private Future<?> startWriteTimeout() {
-        return channel.eventLoop()
-                .schedule(
-                        () -> connection.drop("response not read in time"),
-                        WRITE_TIMEOUT_MS,
-                        TimeUnit.MILLISECONDS);
+    // A client that reads slowly keeps its connection as long as it takes some of the response.
+    private void startWriteTimeout() {
+        long pendingBytes = pendingBytes();
+        writeTimeout =
+                channel.eventLoop()
+                        .schedule(
+                                () -> onWriteTimeout(pendingBytes),
+                                WRITE_TIMEOUT_MS,
+                                TimeUnit.MILLISECONDS);
+    }
+
+    private void onWriteTimeout(long pendingBytesBefore) {
+        if (pendingBytes() < pendingBytesBefore) {
+            startWriteTimeout();
+        } else {
+            connection.drop("response not read in time");
+        }
+    }
+
+    // The buffer's own count leaves out what has been written of a message.
+    private long pendingBytes() {
+        ChannelOutboundBuffer pending = channel.unsafe().outboundBuffer();
+        if (pending == null) {
+            return 0;
+        }
+        AtomicLong bytes = new AtomicLong();
+        try {
+            pending.forEachFlushedMessage(
+                    message -> bytes.addAndGet(((ByteBuf) message).readableBytes()) >= 0);
+        } catch (Exception e) {
+            throw new IllegalStateException("the count of pending bytes failed", e);
+        }
+        return bytes.get();
     }
 
     /**
--- a/balancer/src/test/java/loadbalancer/http/ResponseWriterTest.java
+++ b/balancer/src/test/java/loadbalancer/http/ResponseWriterTest.java
@@ -109,10 +109,38 @@
     }
 
     /** A channel whose client reads nothing. */
+    /** A client that reads a little from time to time is not cut off. */
+    @Test
+    void clientThatReadsItsResponseSlowlyKeepsItsConnection() {
+        UnflushedChannel slow = new UnflushedChannel();
+        slow.freezeTime();
+        ClientConnection slowConnection = frontend.connect(slow);
+        slowConnection.sendText(HttpResponseStatus.OK, "x".repeat(1_000), true);
+        for (int i = 0; i < 5; i++) {
+            slow.advanceTimeBy(2_000, TimeUnit.MILLISECONDS);
+            slow.read(10);
+            slow.advanceTimeBy(200, TimeUnit.MILLISECONDS);
+            slow.runScheduledPendingTasks();
+            assertTrue(slow.isOpen(), "open after read " + i);
+        }
+        slow.advanceTimeBy(2_200, TimeUnit.MILLISECONDS);
+        slow.runScheduledPendingTasks();
+        assertFalse(slow.isOpen());
+    }
+
+    /** A channel whose client takes only the bytes that the test reads. */
     private static final class UnflushedChannel extends EmbeddedChannel {
+        private int readableBytes;
+
         @Override
         protected void doWrite(ChannelOutboundBuffer buffer) {
-            // Nothing leaves the buffer.
+            buffer.removeBytes(readableBytes);
+            readableBytes = 0;
+        }
+
+        void read(int bytes) {
+            readableBytes = bytes;
+            flush();
         }
     }
 
