Testbed: what a restarted balancer's configuration lists counts as notified

Cause: the record of notifications had only what discovery sent on a watch or a poll.

Change: a watch that asks for what changed after a revision records what the list of that revision has. An earlier notification of a drain keeps its time.

--- a/testbed/src/main/java/loadbalancer/testbed/emulation/DiscoveryEmulator.java
+++ b/testbed/src/main/java/loadbalancer/testbed/emulation/DiscoveryEmulator.java
@@ -287,6 +287,7 @@
                     requestedRevision.matches("\\d{1,18}") ? Long.parseLong(requestedRevision) : -1;
             if (fromRevision >= FIRST_REVISION && fromRevision <= revision()) {
                 sentRevision = fromRevision;
+                recordNotified(entriesAt(fromRevision));
                 if (fromRevision == revision()) {
                     sendHeartbeat();
                 }
@@ -299,6 +300,15 @@
         }
 
         // A complete list announces the removal of an upstream by its absence.
+        // A balancer that asks for what changed after a revision has the list of that revision, a
+        // restarted one from its configuration.
+        private List<DiscoveryEntry> entriesAt(long listRevision) {
+            Map<Integer, DiscoveryEntry> lastChanges = new LinkedHashMap<>();
+            changes.subList(0, (int) (listRevision - FIRST_REVISION))
+                    .forEach(entry -> lastChanges.put(entry.upstreamNumber(), entry));
+            return List.copyOf(lastChanges.values());
+        }
+
         private void recordRemovals() {
             changes.stream()
                     .filter(entry -> !entriesByUpstream.containsKey(entry.upstreamNumber()))
