A request whose Connection header names a header it is routed by is rejected

Cause: the parser checked for Req-Id on the headers as received and then dropped the headers that Connection names, while later code (claim of the id, log, upstream) reads the forwarded ones. Idempotency-Key and the id of a safe request went the same way.

Change: a request whose Connection header names Req-Id, Req-Kind, Req-Owner, Req-Cost, Req-Retry or Idempotency-Key is answered with 400 before it reaches the dispatcher.

--- a/balancer/src/main/java/loadbalancer/http/ProxyRequestParser.java
+++ b/balancer/src/main/java/loadbalancer/http/ProxyRequestParser.java
@@ -37,6 +37,10 @@
                     "content-length",
                     ProxyRequest.DEADLINE_HEADER.toLowerCase(Locale.ROOT));
 
+    // Headers by which the request is routed, and by which the upstream recognizes a repeat.
+    private static final List<String> REQUEST_HEADERS =
+            List.of("Req-Id", "Req-Kind", "Req-Owner", "Req-Cost", "Req-Retry", "Idempotency-Key");
+
     private static final int DEFAULT_TENANT = 0;
     private static final long MICROS_PER_MS = 1000;
 
@@ -65,11 +69,14 @@
      * @param body the buffered body; empty if the body is streamed
      * @param upload the streamed body, or null
      * @param contentLength the length of the body in bytes, or negative if it is unknown
-     * @throws InvalidRequestException if a header is missing, or contradicts the class's settings
+     * @throws InvalidRequestException if a header is missing, contradicts the class's settings or
+     *     would not be forwarded because Connection names it
      * @throws IllegalArgumentException if a header to be forwarded is malformed
      */
     ProxyRequest parse(HttpRequest request, byte[] body, BodyRelay upload, long contentLength) {
         HttpHeaders headers = request.headers();
+        Set<String> connectionOptions = connectionOptions(headers);
+        checkNotHopByHop(connectionOptions);
         if (headers.get("Req-Id", "").isEmpty()) {
             throw new InvalidRequestException("no Req-Id");
         }
@@ -82,7 +89,7 @@
         return new ProxyRequest(
                 request.method(),
                 request.uri(),
-                endToEndHeaders(headers),
+                endToEndHeaders(headers, connectionOptions),
                 body,
                 requestClass,
                 parseTenant(headers),
@@ -94,6 +101,15 @@
                 contentLength);
     }
 
+    // The headers that Connection names are not forwarded.
+    private static void checkNotHopByHop(Set<String> connectionOptions) {
+        for (String name : REQUEST_HEADERS) {
+            if (connectionOptions.contains(name.toLowerCase(Locale.ROOT))) {
+                throw new InvalidRequestException("Connection names " + name);
+            }
+        }
+    }
+
     private int parseRequestClass(HttpHeaders headers) {
         String className = PlatformTerms.normalizeName(headers.get("Req-Kind", ""));
         int requestClass = classIndexes.getOrDefault(className, -1);
@@ -132,9 +148,9 @@
                 : defaultValue;
     }
 
-    private static HttpHeaders endToEndHeaders(HttpHeaders headers) {
+    private static HttpHeaders endToEndHeaders(
+            HttpHeaders headers, Set<String> connectionOptions) {
         HttpHeaders forwarded = new DefaultHttpHeaders();
-        Set<String> connectionOptions = connectionOptions(headers);
         for (Map.Entry<String, String> header : headers) {
             String name = header.getKey().toLowerCase(Locale.ROOT);
             if (!HOP_BY_HOP_HEADERS.contains(name) && !connectionOptions.contains(name)) {
--- a/balancer/src/test/java/loadbalancer/http/ProxyRequestParserTest.java
+++ b/balancer/src/test/java/loadbalancer/http/ProxyRequestParserTest.java
@@ -14,6 +14,7 @@
 import io.netty.handler.codec.http.HttpRequest;
 import io.netty.handler.codec.http.HttpVersion;
 import java.util.List;
+import java.util.Locale;
 import loadbalancer.config.BootSettings;
 import loadbalancer.proxy.BodyRelay;
 import loadbalancer.proxy.MemoryBudget;
@@ -206,6 +207,16 @@
                 "method or Idempotency-Key contradicts the Req-Kind");
     }
 
+    /** Guards against headers that are checked here and missing where they are needed. */
+    @ParameterizedTest
+    @CsvSource({"Req-Id", "Req-Kind", "Req-Owner", "Req-Cost", "Req-Retry", "Idempotency-Key"})
+    void requestHeaderNamedByConnectionIsInvalid(String header) {
+        HttpRequest request = readRequest("/");
+        request.headers().add("Connection", "close");
+        request.headers().add("Connection", "x-hop , " + header.toUpperCase(Locale.ROOT));
+        assertInvalid(request, "Connection names " + header);
+    }
+
     private void assertInvalid(HttpRequest request, String expectedMessage) {
         InvalidRequestException rejection =
                 assertThrows(InvalidRequestException.class, () -> parse(request));
