An error of the routing policy, or an exception of a query, ends no event loop task

Cause: PolicyEvents caught exceptions of events only. A query (canStartAttempt, mayResponseTakeUntilDeadline) that threw left a connected upstream connection neither used, idle nor closed, with its descriptor; an error in an event, such as a full stack, ended the caller's task, and with it whatever that still had to do.

Change: queries answer no after an exception, and errors are handled like exceptions; both are counted and logged as before.

Measured: PolicyEventsTest#errorOfThePolicyIsLoggedAndTheNextEventIsHandled and #exceptionOfAQueryMeansNo failed before (the planted exception came through) and pass now.

--- a/balancer/src/main/java/loadbalancer/dispatch/PolicyEvents.java
+++ b/balancer/src/main/java/loadbalancer/dispatch/PolicyEvents.java
@@ -2,6 +2,7 @@
 
 import java.util.ArrayDeque;
 import java.util.List;
+import java.util.function.BooleanSupplier;
 import java.util.function.Consumer;
 import java.util.function.LongConsumer;
 import loadbalancer.config.EndpointList;
@@ -11,6 +12,7 @@
 import loadbalancer.routing.api.PolicySnapshot;
 import loadbalancer.routing.api.RoutingActions;
 import loadbalancer.routing.api.RoutingPolicy;
+import loadbalancer.util.Exceptions;
 
 /**
  * Passes events to the routing policy, one at a time and in order. The policy is not re-entrant: an
@@ -73,16 +75,27 @@
     private void process(LongConsumer event) {
         try {
             event.accept(clock.nowMicros());
-        } catch (RuntimeException e) {
-            exceptionCount++;
-            StackTraceElement[] trace = e.getStackTrace();
-            String location = trace.length == 0 ? "" : " at " + trace[0];
-            log.accept(
-                    "routing policy exception: count="
-                            + exceptionCount
-                            + " exception="
-                            + e
-                            + location);
+        } catch (RuntimeException | Error e) {
+            recordException(e);
+        }
+    }
+
+    private void recordException(Throwable exception) {
+        exceptionCount++;
+        log.accept(
+                "routing policy exception: count="
+                        + exceptionCount
+                        + " exception="
+                        + Exceptions.describe(exception));
+    }
+
+    // An exception must not leave the attempt without an outcome.
+    private boolean ask(BooleanSupplier question) {
+        try {
+            return question.getAsBoolean();
+        } catch (RuntimeException | Error e) {
+            recordException(e);
+            return false;
         }
     }
 
@@ -121,12 +134,15 @@
 
     /** Returns whether an attempt that waited for its connection may still start. */
     boolean canStartAttempt(ExchangeAttempt attempt) {
-        return policy.canStartAttempt(clock.nowMicros(), attempt.exchange().id(), attempt.number());
+        return ask(
+                () ->
+                        policy.canStartAttempt(
+                                clock.nowMicros(), attempt.exchange().id(), attempt.number()));
     }
 
     /** Returns whether an attempt whose response has begun may take until the deadline. */
     boolean mayResponseTakeUntilDeadline(ExchangeAttempt attempt) {
-        return policy.mayResponseTakeUntilDeadline(attempt.exchange().id());
+        return ask(() -> policy.mayResponseTakeUntilDeadline(attempt.exchange().id()));
     }
 
     /**
--- a/balancer/src/test/java/loadbalancer/dispatch/RecordingPolicy.java
+++ b/balancer/src/test/java/loadbalancer/dispatch/RecordingPolicy.java
@@ -13,6 +13,7 @@
 public final class RecordingPolicy implements RoutingPolicy {
     private final List<String> events = new ArrayList<>();
     private Runnable timerHandler = () -> {};
+    private Runnable queryHandler = () -> {};
     private RoutingActions actions;
     private String requestId;
 
@@ -26,6 +27,11 @@
         timerHandler = handler;
     }
 
+    /** Sets a handler that runs during each query of an attempt. */
+    void onQuery(Runnable handler) {
+        queryHandler = handler;
+    }
+
     /** Returns the actions that were passed with the last request. */
     public RoutingActions actions() {
         return actions;
@@ -100,6 +106,18 @@
         events.add("disconnected");
     }
 
+    @Override
+    public boolean canStartAttempt(long now, String queriedRequestId, int attemptNumber) {
+        queryHandler.run();
+        return true;
+    }
+
+    @Override
+    public boolean mayResponseTakeUntilDeadline(String queriedRequestId) {
+        queryHandler.run();
+        return false;
+    }
+
     @Override
     public void onTimer(long now, RoutingActions routingActions) {
         events.add("timer begins");
