An exception in the dispatcher leaves no request unanswered and nothing of it held

Cause: an exchange counts as pending from its entry, and only the steps after the one that threw would have ended it. The same held for the end of a streamed body, a final response whose log line throws (settled, never sent), an attempt that the pool could not start (in flight for ever if its body is streamed), and an attempt's end whose log line throws (never reported to the policy).

Change: the begin, the end of the body and the fallback timer fail and free their request after an exception (`unexpected exception` in the log). Steps that must all run do so although one throws (Exceptions.runAll).

--- a/balancer/src/main/java/loadbalancer/dispatch/AttemptRunner.java
+++ b/balancer/src/main/java/loadbalancer/dispatch/AttemptRunner.java
@@ -10,6 +10,7 @@
 import loadbalancer.upstream.AttemptProgress;
 import loadbalancer.upstream.UpstreamPool;
 import loadbalancer.upstream.UpstreamResponseListener;
+import loadbalancer.util.Exceptions;
 
 /**
  * Runs the attempts of all requests: starts each attempt and its timeout, and reports the outcome
@@ -60,12 +61,23 @@
         if (!exchange.isUploading()) {
             startTimeout(attempt);
         }
-        attempt.setUpstreamRequest(
-                upstreamPool.send(
-                        endpointId,
-                        exchange.proxyRequest(),
-                        attemptTimeoutMicros,
-                        new AttemptListener(attempt)));
+        sendToPool(attempt, attemptTimeoutMicros);
+    }
+
+    // A connection handles the exceptions of its own writes, so that the request has not been
+    // written if the pool throws one.
+    private void sendToPool(ExchangeAttempt attempt, long timeoutMicros) {
+        try {
+            attempt.setUpstreamRequest(
+                    upstreamPool.send(
+                            attempt.endpointId(),
+                            attempt.exchange().proxyRequest(),
+                            timeoutMicros,
+                            new AttemptListener(attempt)));
+        } catch (RuntimeException | Error e) {
+            onAttemptEnded(attempt, AttemptOutcome.CONNECT_FAILED, null, null);
+            throw e;
+        }
     }
 
     private boolean canSend(ExchangeAttempt attempt, long attemptTimeoutMicros) {
@@ -169,17 +181,28 @@
         Exchange exchange = attempt.exchange();
         exchange.onAttemptOutcome(outcome);
         if (attempt == exchange.streamingAttempt()) {
-            onStreamEnded(attempt, outcome);
+            Exceptions.runAll(
+                    () -> onStreamEnded(attempt, outcome),
+                    () -> requests.removeIfFinished(exchange));
         } else {
             long latencyMicros = attempt.latencyMicros(context.nowMicros());
-            if (outcome != AttemptOutcome.OK) {
-                logFailedAttempt(attempt, outcome, latencyMicros);
-            } else if (!exchange.isClosed()) {
-                responses.serve(exchange, response);
-            }
-            policyEvents.attemptEnded(attempt, outcome, latencyMicros, load);
+            Exceptions.runAll(
+                    () -> logOrServe(attempt, outcome, response, latencyMicros),
+                    () -> policyEvents.attemptEnded(attempt, outcome, latencyMicros, load),
+                    () -> requests.removeIfFinished(exchange));
+        }
+    }
+
+    private void logOrServe(
+            ExchangeAttempt attempt,
+            AttemptOutcome outcome,
+            FullHttpResponse response,
+            long latencyMicros) {
+        if (outcome != AttemptOutcome.OK) {
+            logFailedAttempt(attempt, outcome, latencyMicros);
+        } else if (!attempt.exchange().isClosed()) {
+            responses.serve(attempt.exchange(), response);
         }
-        requests.removeIfFinished(exchange);
     }
 
     private void logFailedAttempt(
--- a/balancer/src/main/java/loadbalancer/dispatch/ExchangeLifecycle.java
+++ b/balancer/src/main/java/loadbalancer/dispatch/ExchangeLifecycle.java
@@ -1,9 +1,11 @@
 package loadbalancer.dispatch;
 
 import java.util.concurrent.TimeUnit;
+import loadbalancer.admin.EventLog;
 import loadbalancer.proxy.ProxyRequest;
 import loadbalancer.routing.api.AttemptOutcome;
 import loadbalancer.routing.api.Idempotency;
+import loadbalancer.util.Exceptions;
 
 /**
  * Handles the events of a client's request: its submission, the end of its upload, the client's
@@ -40,11 +42,16 @@
 
     RequestHandle submit(ProxyRequest proxyRequest, ResponseSender responseSender) {
         Exchange exchange = requests.add(proxyRequest, responseSender, context.nowMicros());
-        if (mustRunOnce(proxyRequest)) {
-            int idClaim = requests.claimId(proxyRequest);
+        runOrFail(exchange, () -> start(exchange));
+        return new Handle(exchange);
+    }
+
+    private void start(Exchange exchange) {
+        if (mustRunOnce(exchange.proxyRequest())) {
+            int idClaim = requests.claimId(exchange.proxyRequest());
             if (idClaim == RequestIds.ALREADY_CLAIMED) {
                 responses.failRepeated(exchange);
-                return new Handle(exchange);
+                return;
             }
             exchange.setIdClaim(idClaim);
         }
@@ -57,7 +64,23 @@
             exchange.cancelFallbackTimer();
             scheduleFallback(exchange);
         }
-        return new Handle(exchange);
+    }
+
+    // A request is in the table from its begin, so that an exception must not leave it there.
+    private void runOrFail(Exchange exchange, Runnable step) {
+        try {
+            step.run();
+        } catch (RuntimeException | Error e) {
+            Exceptions.runAll(() -> logException(exchange, e), () -> failAndFree(exchange));
+        }
+    }
+
+    private void logException(Exchange exchange, Throwable exception) {
+        context.events()
+                .record(
+                        EventLog.Kind.FAILED,
+                        exchange.proxyRequest().clientRequestId(),
+                        () -> "unexpected exception " + Exceptions.describe(exception));
     }
 
     // The upstreams' own detection of repeats is limited to a time and a part of them.
@@ -84,7 +107,7 @@
 
         @Override
         public void onBodyComplete() {
-            onUploadComplete(exchange);
+            runOrFail(exchange, () -> onUploadComplete(exchange));
         }
     }
 
@@ -93,7 +116,7 @@
         exchange.setFallbackTimer(
                 context.loop()
                         .schedule(
-                                () -> onFallbackTimer(exchange),
+                                () -> runOrFail(exchange, () -> onFallbackTimer(exchange)),
                                 isUploadInFlight(exchange)
                                         ? Math.min(delayMicros, UPLOAD_CHECK_INTERVAL_MICROS)
                                         : delayMicros,
@@ -158,11 +181,26 @@
         if (Long.bitCount(fallbackResponseCount) == 1) {
             context.log().accept("fallback responses: count=" + fallbackResponseCount);
         }
-        responses.failAtDeadline(exchange);
-        policyEvents.clientDisconnected(exchange);
+        failAndFree(exchange);
+    }
+
+    private void failAndFree(Exchange exchange) {
+        Exceptions.runAll(
+                () -> failIfPending(exchange),
+                () -> policyEvents.clientDisconnected(exchange),
+                () -> abandonAttempts(exchange),
+                () -> requests.removeIfFinished(exchange));
+    }
+
+    private void failIfPending(Exchange exchange) {
+        if (!exchange.isClosed()) {
+            responses.failUnanswered(exchange);
+        }
+    }
+
+    private void abandonAttempts(Exchange exchange) {
         for (ExchangeAttempt attempt : exchange.attempts()) {
             attempts.abandon(attempt, AttemptOutcome.CANCELLED);
         }
-        requests.removeIfFinished(exchange);
     }
 }
--- a/balancer/src/main/java/loadbalancer/dispatch/FinalResponses.java
+++ b/balancer/src/main/java/loadbalancer/dispatch/FinalResponses.java
@@ -4,6 +4,7 @@
 import io.netty.handler.codec.http.HttpResponse;
 import loadbalancer.admin.EventLog;
 import loadbalancer.proxy.BodyRelay;
+import loadbalancer.util.Exceptions;
 
 /**
  * Sends the one final response of each request and counts and logs it. Every way to end a request
@@ -72,37 +73,43 @@
      */
     void reject(Exchange exchange, long retryAfterMicros) {
         settle(exchange);
-        logFinalResponse(EventLog.Kind.REFUSED, exchange);
+        Exceptions.runAll(
+                () -> logFinalResponse(EventLog.Kind.REFUSED, exchange),
+                () -> sendRejection(exchange, retryAfterMicros),
+                () -> requests.removeIfFinished(exchange));
+    }
+
+    private void sendRejection(Exchange exchange, long retryAfterMicros) {
         context.metrics().recordRejected(exchange.proxyRequest().requestClass());
         exchange.responseSender().reject(retryAfterMicros);
-        requests.removeIfFinished(exchange);
     }
 
     /** Fails a request at the policy's request. */
     void fail(Exchange exchange) {
-        settle(exchange);
-        logFinalResponse(EventLog.Kind.FAILED, exchange);
-        sendFailure(exchange);
-        requests.removeIfFinished(exchange);
+        Exceptions.runAll(
+                () -> failUnanswered(exchange), () -> requests.removeIfFinished(exchange));
     }
 
     /** Fails a request whose id has come before, which may have run and is not forwarded again. */
     void failRepeated(Exchange exchange) {
         settle(exchange);
-        context.events()
-                .record(
-                        EventLog.Kind.FAILED,
-                        exchange.proxyRequest().clientRequestId(),
-                        () -> "its id came before, not forwarded again");
-        sendFailure(exchange);
-        requests.removeIfFinished(exchange);
+        Exceptions.runAll(
+                () ->
+                        context.events()
+                                .record(
+                                        EventLog.Kind.FAILED,
+                                        exchange.proxyRequest().clientRequestId(),
+                                        () -> "its id came before, not forwarded again"),
+                () -> sendFailure(exchange),
+                () -> requests.removeIfFinished(exchange));
     }
 
-    /** Fails a request that the policy has left without a response. */
-    void failAtDeadline(Exchange exchange) {
+    /** Fails a request that has no final response; the caller removes it from the table. */
+    void failUnanswered(Exchange exchange) {
         settle(exchange);
-        logFinalResponse(EventLog.Kind.FAILED, exchange);
-        sendFailure(exchange);
+        Exceptions.runAll(
+                () -> logFinalResponse(EventLog.Kind.FAILED, exchange),
+                () -> sendFailure(exchange));
     }
 
     private void sendFailure(Exchange exchange) {
--- a/balancer/src/main/java/loadbalancer/dispatch/RequestTable.java
+++ b/balancer/src/main/java/loadbalancer/dispatch/RequestTable.java
@@ -4,6 +4,7 @@
 import java.util.HashMap;
 import java.util.Map;
 import loadbalancer.proxy.ProxyRequest;
+import loadbalancer.util.Exceptions;
 
 /**
  * Holds the requests that have no final response yet or have attempts in flight. Event loop thread
@@ -54,9 +55,10 @@
     /** Removes a request that needs nothing more, and frees what it retains. */
     void removeIfFinished(Exchange exchange) {
         if (exchange.isFinished() && exchanges.remove(exchange.id()) != null) {
-            exchange.discardUpload();
-            releaseIdUnlessRun(exchange);
-            exchange.responseSender().onRequestFinished();
+            Exceptions.runAll(
+                    exchange::discardUpload,
+                    () -> releaseIdUnlessRun(exchange),
+                    exchange.responseSender()::onRequestFinished);
         }
     }
 
--- a/balancer/src/test/java/loadbalancer/dispatch/FinalResponsesTest.java
+++ b/balancer/src/test/java/loadbalancer/dispatch/FinalResponsesTest.java
@@ -123,7 +123,7 @@
     /** The caller ends the attempts before it removes the request. */
     @Test
     void failureAtTheDeadlineIsSentAndKeptInTheTable() {
-        responses.failAtDeadline(exchange);
+        responses.failUnanswered(exchange);
         assertEquals(List.of("failure"), sender.responses());
         assertCounted(0, 0, 1);
         assertSame(exchange, requests.find(exchange.id()));
--- a/balancer/src/test/java/loadbalancer/dispatch/RecordingResponseSender.java
+++ b/balancer/src/test/java/loadbalancer/dispatch/RecordingResponseSender.java
@@ -13,6 +13,7 @@
 final class RecordingResponseSender implements ResponseSender {
     private final List<String> responses = new ArrayList<>();
     private Runnable onConnectionCheck = () -> {};
+    private Runnable onBodySentQuery = () -> {};
     private boolean connected = true;
     private Consumer<Boolean> onStreamFinished;
     private int finishedCount;
@@ -37,6 +38,11 @@
         onConnectionCheck = callback;
     }
 
+    /** Sets a callback that runs during each query of the time since the body's last byte. */
+    void onBodySentQuery(Runnable callback) {
+        onBodySentQuery = callback;
+    }
+
     /** Reports the end of the streamed response. */
     void finishStream(boolean complete) {
         onStreamFinished.accept(complete);
@@ -55,6 +61,7 @@
 
     @Override
     public long microsSinceBodySent() {
+        onBodySentQuery.run();
         return 0;
     }
 
--- a/balancer/src/test/java/loadbalancer/proxy/ProxyRequestFixtures.java
+++ b/balancer/src/test/java/loadbalancer/proxy/ProxyRequestFixtures.java
@@ -25,6 +25,21 @@
                 false);
     }
 
+    /** Returns a POST request of class 2, which must not run twice, without the header Req-Id. */
+    public static ProxyRequest unsafeRequestWithoutId() {
+        return new ProxyRequest(
+                HttpMethod.POST,
+                "/",
+                new DefaultHttpHeaders(),
+                new byte[0],
+                2,
+                0,
+                null,
+                TIME_LEFT_MICROS,
+                -1,
+                false);
+    }
+
     /** Returns a POST request of class 0 whose body is streamed by {@code upload}. */
     public static ProxyRequest streamedRequest(
             String requestId, BodyRelay upload, long contentLength) {
