An exception while a request is written upstream ends attempt and connection

Cause: UpstreamConnection.write marks the write as started before it builds the request. If that throws, the connection was neither idle nor closed and kept its descriptor, and the attempt had no outcome until its timeout. After a connect, Netty drops the exception.

Change: the connection is closed and the attempt ends at once, as not connected unless it was written completely.

Measured: UpstreamConnectionTest#requestWhoseWriteThrowsFailsAndItsConnectionIsClosed fails without it, passes with it.

--- a/balancer/src/main/java/loadbalancer/upstream/UpstreamConnection.java
+++ b/balancer/src/main/java/loadbalancer/upstream/UpstreamConnection.java
@@ -9,6 +9,7 @@
 import loadbalancer.admin.EventLog;
 import loadbalancer.proxy.BodyRelay;
 import loadbalancer.routing.api.AttemptOutcome;
+import loadbalancer.util.Exceptions;
 
 /**
  * One connection to an endpoint, from connect to close. It carries one request at a time and is
@@ -59,7 +60,7 @@
         connectFuture.addListener(
                 done -> {
                     if (done.isSuccess()) {
-                        onConnected();
+                        runOrFail(this::onConnected);
                     } else {
                         completeWithoutResponse(AttemptOutcome.CONNECT_FAILED);
                         close();
@@ -87,6 +88,34 @@
     }
 
     void write(UpstreamRequest nextRequest) {
+        runOrFail(() -> startWriting(nextRequest));
+    }
+
+    // An exception must neither leave the request without an outcome nor keep the connection open
+    // that may carry a part of it.
+    private void runOrFail(Runnable step) {
+        try {
+            step.run();
+        } catch (RuntimeException | Error e) {
+            AttemptOutcome outcome =
+                    isRequestWritten() ? AttemptOutcome.RESET : AttemptOutcome.CONNECT_FAILED;
+            UpstreamRequest failedRequest = detachRequest();
+            Exceptions.runAll(
+                    () -> logException(failedRequest, e),
+                    this::closeBroken,
+                    () -> completeIfAny(failedRequest, outcome));
+        }
+    }
+
+    private void logException(UpstreamRequest failedRequest, Throwable exception) {
+        pool.events()
+                .record(
+                        EventLog.Kind.ATTEMPT,
+                        failedRequest == null ? null : failedRequest.clientRequestId(),
+                        () -> "unexpected exception " + Exceptions.describe(exception));
+    }
+
+    private void startWriting(UpstreamRequest nextRequest) {
         assign(nextRequest);
         writeProgress = WriteProgress.STARTED;
         responding = false;
@@ -189,7 +218,10 @@
     }
 
     private void completeWithoutResponse(AttemptOutcome outcome) {
-        UpstreamRequest finishedRequest = detachRequest();
+        completeIfAny(detachRequest(), outcome);
+    }
+
+    private static void completeIfAny(UpstreamRequest finishedRequest, AttemptOutcome outcome) {
         if (finishedRequest != null) {
             finishedRequest.completeWithoutResponse(outcome);
         }
--- a/balancer/src/test/java/loadbalancer/upstream/UpstreamConnectionTest.java
+++ b/balancer/src/test/java/loadbalancer/upstream/UpstreamConnectionTest.java
@@ -66,6 +66,17 @@
         assertEquals(1, upstream.malformedCount());
     }
 
+    /** Guards against requests without an outcome; without an address, the write throws. */
+    @Test
+    void requestWhoseWriteThrowsFailsAndItsConnectionIsClosed() {
+        UpstreamConnection connection =
+                upstream.connectIdle(new EndpointPool(upstream.context(), "s2"));
+        connection.write(upstream.request("r1"));
+        assertEquals(List.of("CONNECT_FAILED"), upstream.outcomes());
+        assertFalse(connection.isActive());
+        assertEquals(0, upstream.context().openConnections());
+    }
+
     @Test
     void requestIsWrittenWithItsTimeout() {
         UpstreamConnection connection = upstream.connect(upstream.request("r1"));
