An exception on the client side closes the connection and frees what it holds

Cause: a request is processed in a task of the event loop, and a final response may be written from one; Netty drops the exceptions of tasks and listeners. An exception in the handler of the close skipped the rest of it, the dispatcher's notice included. BodyRelay.writePending stayed locked after an exception.

Change: ExceptionGuard runs the tasks, timers and write listeners of a connection and its final response; an exception is logged and closes the connection. The handler of the close runs all of its steps. The queue of pipelined requests is a class of its own.

--- a/balancer/src/main/java/loadbalancer/http/ClientConnection.java
+++ b/balancer/src/main/java/loadbalancer/http/ClientConnection.java
@@ -7,12 +7,12 @@
 import io.netty.handler.codec.http.HttpResponseEncoder;
 import io.netty.handler.codec.http.HttpResponseStatus;
 import io.netty.handler.codec.http.HttpVersion;
-import java.util.ArrayDeque;
 import java.util.function.Consumer;
 import loadbalancer.admin.EventLog;
 import loadbalancer.dispatch.RequestHandle;
 import loadbalancer.proxy.BodyRelay;
 import loadbalancer.proxy.MemoryReservation;
+import loadbalancer.util.Exceptions;
 
 /**
  * One client connection. Coordinates the reading of requests ({@link RequestReader}), their
@@ -20,28 +20,18 @@
  * Processes one request at a time and queues pipelined ones. Confined to the event loop.
  */
 final class ClientConnection {
-    private static final int MAX_PIPELINED_REQUESTS = 16;
     // The time for a client to close its side after the output has been shut down.
     private static final long CLOSE_TIMEOUT_MS = 1_000;
 
-    /** The state of the request that gets the next response. */
-    private enum RequestPhase {
-        /** No request has been received completely. */
-        NONE,
-        /** The first queued request is processed at the end of this event loop iteration. */
-        SCHEDULED,
-        /** The request is being processed, or its response is being written. */
-        PROCESSING
-    }
-
     private final Channel channel;
     private final FrontendContext context;
+    private final ExceptionGuard exceptionGuard;
     private final RequestTimeoutHandler requestTimeout;
     private final ClientInput input;
     private final RequestReader reader;
     private final ClientCloseDetector closeDetector;
     private final ResponseWriter responseWriter;
-    private final ArrayDeque<BufferedRequest> pipelinedRequests = new ArrayDeque<>();
+    private final PipelinedRequests pipelinedRequests = new PipelinedRequests();
     private final long connectionNumber;
     private RequestPhase phase = RequestPhase.NONE;
     // Whether a part of the next request has been received.
@@ -66,6 +56,7 @@
         this.channel = channel;
         this.context = context;
         this.connectionNumber = context.connections().nextConnectionNumber();
+        this.exceptionGuard = new ExceptionGuard(channel, context.events(), this::idInProgress);
         this.input = new ClientInput(channel, context.memory());
         this.requestTimeout = new RequestTimeoutHandler(this, context.loop());
         this.reader = new RequestReader(this, channel, context);
@@ -85,23 +76,31 @@
                         reader);
         context.connections().add(this);
         requestTimeout.start();
-        channel.closeFuture().addListener(closed -> onClosed());
+        channel.closeFuture().addListener(closed -> exceptionGuard.run(this::onClosed));
         context.connections().enforceLimitWhileOpen();
     }
 
     // The only method that releases requests that will not be processed any more.
     private void onClosed() {
-        context.connections().remove(this);
-        requestTimeout.cancel();
-        pipelinedRequests.forEach(BufferedRequest::release);
-        pipelinedRequests.clear();
-        reader.onConnectionClosed();
-        releaseCurrentMemory();
-        input.onConnectionClosed();
+        Exceptions.runAll(
+                () -> context.connections().remove(this),
+                requestTimeout::cancel,
+                pipelinedRequests::releaseAll,
+                reader::onConnectionClosed,
+                this::releaseCurrentMemory,
+                input::onConnectionClosed,
+                this::reportDisconnect,
+                context.connections()::afterRemoval);
+    }
+
+    private void reportDisconnect() {
         if (requestHandle != null) {
             requestHandle.onClientDisconnected();
         }
-        context.connections().afterRemoval();
+    }
+
+    ExceptionGuard exceptionGuard() {
+        return exceptionGuard;
     }
 
     RequestTimeoutHandler requestTimeout() {
@@ -217,8 +216,8 @@
             // Deferred until this event loop iteration has read everything: if the client closed
             // the connection after its request, the request is not forwarded.
             phase = RequestPhase.SCHEDULED;
-            pipelinedRequests.add(received);
-            context.loop().execute(this::processNextRequest);
+            pipelinedRequests.addFirst(received);
+            context.loop().execute(exceptionGuard.wrap(this::processNextRequest));
             return;
         }
         context.events()
@@ -226,12 +225,7 @@
                         EventLog.Kind.PIPELINED,
                         received.request().headers().get("Req-Id"),
                         () -> "behind " + currentRequestId + ", " + this);
-        // The scheduled request is in the queue but does not count as pipelined.
-        int scheduledRequests = phase == RequestPhase.SCHEDULED ? 1 : 0;
-        if (pipelinedRequests.size() < MAX_PIPELINED_REQUESTS + scheduledRequests) {
-            pipelinedRequests.add(received);
-        } else {
-            received.release();
+        if (!pipelinedRequests.addOrRelease(received, phase == RequestPhase.SCHEDULED)) {
             acceptNoMoreRequests();
         }
     }
@@ -244,7 +238,7 @@
             ClientLiveness.State state = closeDetector.check();
             if (state == ClientLiveness.State.UNKNOWN) {
                 // What is unread is read in the turns of this connection, and the request waits.
-                context.loop().execute(this::processNextRequest);
+                context.loop().execute(exceptionGuard.wrap(this::processNextRequest));
             }
             if (state != ClientLiveness.State.CONNECTED) {
                 return;
@@ -253,13 +247,9 @@
         phase = RequestPhase.NONE;
         BufferedRequest next = pipelinedRequests.poll();
         if (next != null) {
-            beginRequest(next.request(), next.memory());
-            context.requestProcessor().process(this, next);
-            next.request().release();
-        } else if (reader.hasUpload() && closeDetector.isCloseHidden()) {
-            reader.refuseUpload();
+            processAndRelease(next);
         } else if (reader.hasUpload()) {
-            reader.forwardUpload();
+            reader.forwardOrRefuseUpload(closeDetector.isCloseHidden());
         } else if (refusalPending) {
             refusalPending = false;
             sendRefusal();
@@ -273,6 +263,15 @@
         }
     }
 
+    private void processAndRelease(BufferedRequest next) {
+        try {
+            beginRequest(next.request(), next.memory());
+            context.requestProcessor().process(this, next);
+        } finally {
+            next.request().release();
+        }
+    }
+
     private void beginRequest(HttpRequest request, MemoryReservation memory) {
         releaseCurrentMemory();
         currentMemory = memory;
@@ -439,7 +438,7 @@
             processNextRequest();
         } else {
             // Deferred, so that it does not run within the processing of the previous request.
-            context.loop().execute(this::processNextRequest);
+            context.loop().execute(exceptionGuard.wrap(this::processNextRequest));
         }
     }
 
--- a/balancer/src/main/java/loadbalancer/http/ClientResponseSender.java
+++ b/balancer/src/main/java/loadbalancer/http/ClientResponseSender.java
@@ -60,12 +60,19 @@
     @Override
     public void send(FullHttpResponse response) {
         responded = true;
-        connection.sendResponse(
-                ResponseWriter.newResponse(
-                        HttpResponseStatus.OK,
-                        response.content().retain(),
-                        response.headers().get(HttpHeaderNames.CONTENT_TYPE)),
-                keepAlive);
+        sendOrClose(
+                () ->
+                        connection.sendResponse(
+                                ResponseWriter.newResponse(
+                                        HttpResponseStatus.OK,
+                                        response.content().retain(),
+                                        response.headers().get(HttpHeaderNames.CONTENT_TYPE)),
+                                keepAlive));
+    }
+
+    // The dispatcher has settled the request already and does not answer it again.
+    private void sendOrClose(Runnable step) {
+        connection.exceptionGuard().run(step);
     }
 
     @Override
@@ -74,17 +81,23 @@
             long contentLength,
             BodyRelay body,
             Consumer<Boolean> onFinished) {
-        connection.streamResponse(
-                contentLength,
-                responseHead.headers().get(HttpHeaderNames.CONTENT_TYPE),
-                body,
-                keepAlive,
-                onFinished);
+        sendOrClose(
+                () ->
+                        connection.streamResponse(
+                                contentLength,
+                                responseHead.headers().get(HttpHeaderNames.CONTENT_TYPE),
+                                body,
+                                keepAlive,
+                                onFinished));
     }
 
     @Override
     public void reject(long retryAfterMicros) {
         responded = true;
+        sendOrClose(() -> sendRejection(retryAfterMicros));
+    }
+
+    private void sendRejection(long retryAfterMicros) {
         FullHttpResponse response =
                 ResponseWriter.newResponse(
                         HttpResponseStatus.SERVICE_UNAVAILABLE,
@@ -107,6 +120,6 @@
     @Override
     public void fail() {
         responded = true;
-        connection.sendText(HttpResponseStatus.BAD_GATEWAY, "failed", keepAlive);
+        sendOrClose(() -> connection.sendText(HttpResponseStatus.BAD_GATEWAY, "failed", keepAlive));
     }
 }
--- a/balancer/src/main/java/loadbalancer/http/RequestReader.java
+++ b/balancer/src/main/java/loadbalancer/http/RequestReader.java
@@ -17,10 +17,12 @@
 import io.netty.handler.codec.http.HttpUtil;
 import io.netty.handler.codec.http.HttpVersion;
 import io.netty.handler.codec.http.LastHttpContent;
+import java.io.IOException;
 import loadbalancer.proxy.BodyRelay;
 import loadbalancer.proxy.ByteSizes;
 import loadbalancer.proxy.MemoryReservation;
 import loadbalancer.proxy.PeerMemory;
+import loadbalancer.util.Exceptions;
 
 /**
  * Reads the requests of one client connection. Buffers short requests until they are complete and
@@ -138,7 +140,11 @@
 
     @Override
     public void exceptionCaught(ChannelHandlerContext context, Throwable cause) {
-        channel.close();
+        if (cause instanceof IOException) {
+            channel.close();
+        } else {
+            Exceptions.runAll(() -> connection.exceptionGuard().log(cause), channel::close);
+        }
     }
 
     private void onRequestHead(HttpRequest request) {
@@ -305,7 +311,7 @@
     }
 
     /** Submits a request with a streamed body, most of which is usually still to be received. */
-    void forwardUpload() {
+    private void forwardUpload() {
         if (uploadState != UploadState.RECEIVED) {
             uploadState = UploadState.FORWARDING;
         }
@@ -315,9 +321,13 @@
         }
     }
 
-    /** Refuses a request with a streamed body that has waited, instead of submitting it. */
-    void refuseUpload() {
-        abortAndRefuse("its client may have disconnected");
+    /** Submits a request with a streamed body that has waited, unless its client may have left. */
+    void forwardOrRefuseUpload(boolean isCloseHidden) {
+        if (isCloseHidden) {
+            abortAndRefuse("its client may have disconnected");
+        } else {
+            forwardUpload();
+        }
     }
 
     private void onUploadReceived() {
--- a/balancer/src/main/java/loadbalancer/http/RequestTimeoutHandler.java
+++ b/balancer/src/main/java/loadbalancer/http/RequestTimeoutHandler.java
@@ -75,7 +75,8 @@
     }
 
     private void schedule(long delayNanos) {
-        timer = loop.schedule(this::check, delayNanos, TimeUnit.NANOSECONDS);
+        Runnable guardedCheck = connection.exceptionGuard().wrap(this::check);
+        timer = loop.schedule(guardedCheck, delayNanos, TimeUnit.NANOSECONDS);
     }
 
     private void check() {
--- a/balancer/src/main/java/loadbalancer/http/ResponseWriter.java
+++ b/balancer/src/main/java/loadbalancer/http/ResponseWriter.java
@@ -75,17 +75,27 @@
             startWriteTimeout();
         }
         writeFuture.addListener(
-                done -> {
-                    if (writeTimeout != null) {
-                        writeTimeout.cancel(false);
-                        writeTimeout = null;
-                    }
-                    if (uploadUnfinished && done.isSuccess()) {
-                        LingeringClose.start(channel, UPLOAD_LINGER_TIMEOUT_MS);
-                    } else {
-                        connection.onResponseWritten(keepOpen && done.isSuccess());
-                    }
-                });
+                done ->
+                        connection
+                                .exceptionGuard()
+                                .run(
+                                        () ->
+                                                onWritten(
+                                                        done.isSuccess(),
+                                                        keepOpen,
+                                                        uploadUnfinished)));
+    }
+
+    private void onWritten(boolean success, boolean keepOpen, boolean uploadUnfinished) {
+        if (writeTimeout != null) {
+            writeTimeout.cancel(false);
+            writeTimeout = null;
+        }
+        if (uploadUnfinished && success) {
+            LingeringClose.start(channel, UPLOAD_LINGER_TIMEOUT_MS);
+        } else {
+            connection.onResponseWritten(keepOpen && success);
+        }
     }
 
     // A client that reads slowly keeps its connection as long as it takes some of the response.
@@ -94,7 +104,9 @@
         writeTimeout =
                 channel.eventLoop()
                         .schedule(
-                                () -> onWriteTimeout(pendingBytes),
+                                connection
+                                        .exceptionGuard()
+                                        .wrap(() -> onWriteTimeout(pendingBytes)),
                                 WRITE_TIMEOUT_MS,
                                 TimeUnit.MILLISECONDS);
     }
--- a/balancer/src/main/java/loadbalancer/proxy/BodyRelay.java
+++ b/balancer/src/main/java/loadbalancer/proxy/BodyRelay.java
@@ -272,17 +272,24 @@
         }
         if (sink != null) {
             writing = true;
-            boolean needsFlush = writePendingParts();
-            if (isLastContentDue()) {
-                writeLastContent();
-            } else if (needsFlush) {
-                sink.flush();
+            try {
+                writeWhatIsDue();
+            } finally {
+                writing = false;
             }
-            writing = false;
         }
         updateAutoRead();
     }
 
+    private void writeWhatIsDue() {
+        boolean needsFlush = writePendingParts();
+        if (isLastContentDue()) {
+            writeLastContent();
+        } else if (needsFlush) {
+            sink.flush();
+        }
+    }
+
     // Returns whether something is left to flush.
     private boolean writePendingParts() {
         boolean needsFlush = false;
--- a/balancer/src/test/java/loadbalancer/http/ClientConnectionTest.java
+++ b/balancer/src/test/java/loadbalancer/http/ClientConnectionTest.java
@@ -4,6 +4,8 @@
 import static org.junit.jupiter.api.Assertions.assertFalse;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
+import io.netty.channel.ChannelFuture;
+import io.netty.channel.embedded.EmbeddedChannel;
 import java.util.List;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.Test;
@@ -34,6 +36,45 @@
         assertEquals(List.of("request"), frontend.policy().events());
     }
 
+    /** Guards against connections that stay open and hold memory; Netty drops the exception. */
+    @Test
+    void exceptionWhileARequestIsProcessedClosesTheConnection() {
+        frontend.receive(channel, "NONSENSE");
+        frontend.makeNextLogLineThrow();
+        frontend.receive(channel, "\r\n\r\n");
+        assertFalse(connection.isActive());
+        assertFreed();
+        assertEquals(1, frontend.logLines().size());
+        assertTrue(
+                frontend.logLines().get(0).contains("unexpected exception"),
+                frontend.logLines().toString());
+    }
+
+    private void assertFreed() {
+        assertTrue(
+                frontend.connections().toString().startsWith("0 client connections"),
+                frontend.connections().toString());
+        assertEquals(0, frontend.reservedMemoryBytes());
+    }
+
+    /** Guards against requests that are settled, and neither answered nor closed. */
+    @Test
+    void exceptionWhileTheResponseIsWrittenClosesTheConnection() {
+        channel.close();
+        EmbeddedChannel failingChannel =
+                new EmbeddedChannel() {
+                    @Override
+                    public ChannelFuture writeAndFlush(Object message) {
+                        throw new IllegalStateException("planted");
+                    }
+                };
+        frontend.connect(failingChannel);
+        frontend.receive(failingChannel, EmbeddedFrontend.getRequest("r1"));
+        frontend.rejectLastRequest();
+        assertFalse(failingChannel.isActive());
+        assertFreed();
+    }
+
     @Test
     void idleConnectionOfADrainingBalancerIsHalfClosed() {
         connection.closeForDrain();
--- a/balancer/src/test/java/loadbalancer/http/EmbeddedFrontend.java
+++ b/balancer/src/test/java/loadbalancer/http/EmbeddedFrontend.java
@@ -44,6 +44,8 @@
     private final NioEventLoopGroup listenerGroup = new NioEventLoopGroup(1);
     private final List<EmbeddedChannel> channels = new ArrayList<>();
     private final List<String> logLines = new ArrayList<>();
+    // Whether the next log line can't be written.
+    private boolean nextLogLineThrows;
     private final RecordingPolicy policy = new RecordingPolicy();
     private final ServingState servingState = new ServingState();
     private final FileDescriptorBudget descriptorBudget;
@@ -61,7 +63,7 @@
     EmbeddedFrontend(int descriptorLimit) {
         loopChannel.freezeTime();
         BootSettings boot = bootSettings();
-        EventLog events = new EventLog(logLines::add, System::nanoTime);
+        EventLog events = new EventLog(this::logLine, System::nanoTime);
         descriptorBudget = new FileDescriptorBudget(descriptorLimit, false);
         connections =
                 new ClientConnections(
@@ -91,6 +93,19 @@
         servingState.setReady();
     }
 
+    private void logLine(String line) {
+        if (nextLogLineThrows) {
+            nextLogLineThrows = false;
+            throw new IllegalStateException("planted");
+        }
+        logLines.add(line);
+    }
+
+    /** Makes the next log line throw an exception. */
+    void makeNextLogLineThrow() {
+        nextLogLineThrows = true;
+    }
+
     /** Returns settings with the classes read, pay and book, one of each kind of idempotency. */
     static BootSettings bootSettings() {
         return SettingsReader.read(SettingsFlattener.flatten(BalancerServerFixtures.settings()));
@@ -138,6 +153,11 @@
         return policy;
     }
 
+    /** Returns the reserved bytes of all clients. */
+    long reservedMemoryBytes() {
+        return memory.total().usedBytes();
+    }
+
     ServingState servingState() {
         return servingState;
     }
