A request with a repeated or empty header that it is routed by is rejected

Cause: of several values of Req-Id, Req-Kind or another header that describes the request, the parser used the first and forwarded all of them, so that an upstream may use another one: an id that was not claimed, or a class that must not run twice. An empty Idempotency-Key counted as a key, and its request was retried though no upstream can recognize a repeat.

Change: both get 400.

Measured: without the change repeatedRequestHeaderIsInvalid fails in its seven rows and emptyIdempotencyKeyIsInvalid fails; with it all 75 tests of ProxyRequestParserTest pass. connectionMayNameHeadersThatAreNotForwardedAnyway passed before too.

--- a/balancer/src/main/java/loadbalancer/http/ProxyRequestParser.java
+++ b/balancer/src/main/java/loadbalancer/http/ProxyRequestParser.java
@@ -69,14 +69,15 @@
      * @param body the buffered body; empty if the body is streamed
      * @param upload the streamed body, or null
      * @param contentLength the length of the body in bytes, or negative if it is unknown
-     * @throws InvalidRequestException if a header is missing, contradicts the class's settings or
-     *     would not be forwarded because Connection names it
+     * @throws InvalidRequestException if a header is missing, empty or repeated, contradicts the
+     *     class's settings or would not be forwarded because Connection names it
      * @throws IllegalArgumentException if a header to be forwarded is malformed
      */
     ProxyRequest parse(HttpRequest request, byte[] body, BodyRelay upload, long contentLength) {
         HttpHeaders headers = request.headers();
         Set<String> connectionOptions = connectionOptions(headers);
         checkNotHopByHop(connectionOptions);
+        checkNotRepeated(headers);
         if (headers.get("Req-Id", "").isEmpty()) {
             throw new InvalidRequestException("no Req-Id");
         }
@@ -110,6 +111,20 @@
         }
     }
 
+    // Of several values, upstreams may use another one than this balancer.
+    private static void checkNotRepeated(HttpHeaders headers) {
+        for (String name : REQUEST_HEADERS) {
+            checkNotRepeated(headers, name);
+        }
+        checkNotRepeated(headers, ProxyRequest.DEADLINE_HEADER);
+    }
+
+    private static void checkNotRepeated(HttpHeaders headers, String name) {
+        if (headers.getAll(name).size() > 1) {
+            throw new InvalidRequestException("more than one " + name);
+        }
+    }
+
     private int parseRequestClass(HttpHeaders headers) {
         String className = PlatformTerms.normalizeName(headers.get("Req-Kind", ""));
         int requestClass = classIndexes.getOrDefault(className, -1);
@@ -124,6 +139,9 @@
         HttpMethod method =
                 idempotency == Idempotency.IDEMPOTENT ? HttpMethod.GET : HttpMethod.POST;
         boolean hasIdempotencyKey = request.headers().contains("Idempotency-Key");
+        if (hasIdempotencyKey && request.headers().get("Idempotency-Key").isEmpty()) {
+            throw new InvalidRequestException("empty Idempotency-Key");
+        }
         if (!request.method().equals(method)
                 || hasIdempotencyKey != (idempotency == Idempotency.IDEMPOTENCY_KEY)) {
             throw new InvalidRequestException("method or Idempotency-Key contradicts the Req-Kind");
@@ -148,8 +166,7 @@
                 : defaultValue;
     }
 
-    private static HttpHeaders endToEndHeaders(
-            HttpHeaders headers, Set<String> connectionOptions) {
+    private static HttpHeaders endToEndHeaders(HttpHeaders headers, Set<String> connectionOptions) {
         HttpHeaders forwarded = new DefaultHttpHeaders();
         for (Map.Entry<String, String> header : headers) {
             String name = header.getKey().toLowerCase(Locale.ROOT);
--- a/balancer/src/test/java/loadbalancer/http/ProxyRequestParserTest.java
+++ b/balancer/src/test/java/loadbalancer/http/ProxyRequestParserTest.java
@@ -217,6 +217,31 @@
         assertInvalid(request, "Connection names " + header);
     }
 
+    /** Guards against an upstream that uses another value than the one that was checked here. */
+    @ParameterizedTest
+    @CsvSource({
+        "Req-Id", "Req-Kind", "Req-Owner", "Req-Cost", "Req-Retry", "Idempotency-Key", "Req-Deadline-Ms"
+    })
+    void repeatedRequestHeaderIsInvalid(String header) {
+        HttpRequest request = newRequest("POST", "pay", "k");
+        request.headers().set(header, "1").add(header, "1");
+        assertInvalid(request, "more than one " + header);
+    }
+
+    /** Guards against retries of a request that no upstream recognizes as repeated. */
+    @Test
+    void emptyIdempotencyKeyIsInvalid() {
+        assertInvalid(newRequest("POST", "pay", ""), "empty Idempotency-Key");
+    }
+
+    /** The framing and the connection's own headers are decided before, whatever it names. */
+    @Test
+    void connectionMayNameHeadersThatAreNotForwardedAnyway() {
+        HttpRequest request = readRequest("/");
+        request.headers().set("Connection", "close, Host, Content-Length, Req-Deadline-Ms, ,");
+        assertEquals("r1", parse(request).clientRequestId());
+    }
+
     private void assertInvalid(HttpRequest request, String expectedMessage) {
         InvalidRequestException rejection =
                 assertThrows(InvalidRequestException.class, () -> parse(request));
