--- a/balancer/src/test/java/loadbalancer/http/ProxyRequestParserTest.java
+++ b/balancer/src/test/java/loadbalancer/http/ProxyRequestParserTest.java
@@ -220,7 +220,13 @@
     /** Guards against an upstream that uses another value than the one that was checked here. */
     @ParameterizedTest
     @CsvSource({
-        "Req-Id", "Req-Kind", "Req-Owner", "Req-Cost", "Req-Retry", "Idempotency-Key", "Req-Deadline-Ms"
+        "Req-Id",
+        "Req-Kind",
+        "Req-Owner",
+        "Req-Cost",
+        "Req-Retry",
+        "Idempotency-Key",
+        "Req-Deadline-Ms"
     })
     void repeatedRequestHeaderIsInvalid(String header) {
         HttpRequest request = newRequest("POST", "pay", "k");
--- a/balancer/src/test/java/loadbalancer/proxy/StrictFramingTest.java
+++ b/balancer/src/test/java/loadbalancer/proxy/StrictFramingTest.java
@@ -9,8 +9,10 @@
 import io.netty.handler.codec.DecoderResult;
 import io.netty.handler.codec.http.HttpMessage;
 import java.nio.charset.StandardCharsets;
+import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
+import org.junit.jupiter.params.provider.ValueSource;
 
 /** Tests which messages are rejected, and by which rule. In messages, | stands for CRLF. */
 class StrictFramingTest {
@@ -53,6 +55,38 @@
         assertViolates(expectedRule, decode(new StrictFraming.ResponseDecoder(), message));
     }
 
+    @ParameterizedTest
+    @ValueSource(
+            strings = {
+                "18446744073709551621",
+                "9223372036854775808",
+                "''",
+                "0x5",
+                "+5",
+                "-5",
+                "5.0",
+                "1 1",
+                "5,5",
+                "5|Content-Length: 5"
+            })
+    void contentLengthThatIsNoNumberOrOverflowsIsRejected(String length) {
+        String field = "|Content-Length: " + length.replace("'", "") + "||hello";
+        assertTrue(
+                decode(new StrictFraming.RequestDecoder(), "POST / HTTP/1.1" + field).isFailure());
+        assertTrue(
+                decode(new StrictFraming.ResponseDecoder(), "HTTP/1.1 200 OK" + field).isFailure());
+    }
+
+    @ParameterizedTest
+    @ValueSource(strings = {"HTTP/1.10", "HTTP/4294967297.1", "HTTP/1.4294967296", "HTTP/01.1"})
+    void versionThatIsNotTwoDigitsIsRejected(String version) {
+        assertTrue(
+                decode(
+                                new StrictFraming.RequestDecoder(),
+                                "POST / " + version + "|Content-Length: 0||")
+                        .isFailure());
+    }
+
     @ParameterizedTest
     @CsvSource({
         "'POST / HTTP/1.1|Transfer-Encoding: Chunked||'",
--- a/balancer/src/test/java/loadbalancer/server/RequestFramingTest.java
+++ b/balancer/src/test/java/loadbalancer/server/RequestFramingTest.java
@@ -58,6 +58,8 @@
                 "HEAD Expect: 100-continue\r\nContent-Length: 33554433\r\n\r\n",
                 "HEAD Content-Length: 33554433\r\n\r\n",
                 "HEAD Transfer-Encoding: chunked\r\n\r\nx\r\n",
+                "HEAD Transfer-Encoding: chunked\r\n\r\n100000005\r\nabcde\r\n0\r\n\r\n",
+                "HEAD Transfer-Encoding: chunked\r\n\r\n5 6\r\nabcde\r\n0\r\n\r\n",
                 "POST /api/k1 HTTP/1.1\r\nReq-Kind: other\r\nContent-Length: 0\r\n\r\n",
                 "POST /api/k1 HTTP/2.0\r\nReq-Id: outer\r\nReq-Kind: book\r\nReq-Deadline-Ms: 20000\r\n\r\n",
                 "POST /api/k1 RTSP/1.0\r\nReq-Id: outer\r\nReq-Kind: book\r\nReq-Deadline-Ms: 20000\r\n\r\n",
