A length of a head that only Netty reads, or reads as the first of several, is refused

Callers could: have a request inside a body forwarded. Of two Content-Length fields in HTTP/1.0 Netty uses the first and removes the other before StrictFraming sees the head. After a GET with Sec-WebSocket-Key1 and -Key2 and no Content-Length it reads a body of eight bytes, which no RFC of HTTP/1.1 has.

Change: Content-Length fields are counted as they are decoded, in requests and responses; more than one is refused in any version, as is the head with the implied length.

Measured: without the change repeatedContentLengthIsRejectedInHttp10 (2 rows) and requestWithImpliedLengthIsRejected of StrictFramingTest and two rows of RequestFramingTest (502, the request had reached the policy) fail; with it they pass.

--- a/balancer/src/main/java/loadbalancer/proxy/MessageGuard.java
+++ b/balancer/src/main/java/loadbalancer/proxy/MessageGuard.java
@@ -24,6 +24,8 @@
 
     private final HeadMemoryMeter meter = new HeadMemoryMeter();
     private final ChunkedBodyValidator chunkedBody = new ChunkedBodyValidator();
+    // The number of Content-Length fields in the head that is being decoded.
+    private int contentLengthFields;
     private int messageCount;
     // Whether a chunked body was malformed. Never reset: nothing after it can be decoded.
     private boolean failed;
@@ -77,6 +79,7 @@
     /** Records the start line of a message. */
     void onStartLine() {
         meter.onStartLine();
+        contentLengthFields = 0;
     }
 
     /**
@@ -87,6 +90,9 @@
      */
     void onField(byte[] line, CharSequence name) {
         meter.onField(line);
+        if (HttpHeaderNames.CONTENT_LENGTH.contentEqualsIgnoreCase(name)) {
+            contentLengthFields++;
+        }
     }
 
     /** Records that a message with this head has a body, if it is framed as chunked. */
@@ -115,6 +121,10 @@
         if (!version.protocolName().equals("HTTP") || version.majorVersion() != 1) {
             throw new FramingException("not HTTP/1");
         }
+        // Counted, because in HTTP/1.0 Netty has replaced several fields by the first one.
+        if (contentLengthFields > 1) {
+            throw new FramingException("more than one Content-Length");
+        }
         List<String> transferCodings = headers.getAll(HttpHeaderNames.TRANSFER_ENCODING);
         if (transferCodings.isEmpty()) {
             return;
--- a/balancer/src/main/java/loadbalancer/proxy/StrictFraming.java
+++ b/balancer/src/main/java/loadbalancer/proxy/StrictFraming.java
@@ -2,6 +2,7 @@
 
 import io.netty.buffer.ByteBuf;
 import io.netty.channel.ChannelHandlerContext;
+import io.netty.handler.codec.http.HttpHeaderNames;
 import io.netty.handler.codec.http.HttpMessage;
 import io.netty.handler.codec.http.HttpRequestDecoder;
 import io.netty.handler.codec.http.HttpResponse;
@@ -64,12 +65,22 @@
         @Override
         protected boolean isContentAlwaysEmpty(HttpMessage message) {
             guard.validateFraming(message);
+            if (hasImpliedLength(message)) {
+                throw new FramingException("a body without Content-Length");
+            }
             boolean isEmpty = super.isContentAlwaysEmpty(message);
             if (!isEmpty) {
                 guard.onBodyStart(message);
             }
             return isEmpty;
         }
+
+        // Netty reads a body of eight bytes after the head of an old WebSocket handshake.
+        private static boolean hasImpliedLength(HttpMessage message) {
+            return !message.headers().contains(HttpHeaderNames.CONTENT_LENGTH)
+                    && message.headers().contains(HttpHeaderNames.SEC_WEBSOCKET_KEY1)
+                    && message.headers().contains(HttpHeaderNames.SEC_WEBSOCKET_KEY2);
+        }
     }
 
     /** Decodes responses of upstreams and of discovery. */
--- a/balancer/src/test/java/loadbalancer/proxy/StrictFramingTest.java
+++ b/balancer/src/test/java/loadbalancer/proxy/StrictFramingTest.java
@@ -55,6 +55,31 @@
         assertViolates(expectedRule, decode(new StrictFraming.ResponseDecoder(), message));
     }
 
+    /** Guards against a second Content-Length, of which Netty uses the first in HTTP/1.0. */
+    @ParameterizedTest
+    @ValueSource(strings = {"2|Content-Length: 5", "5|content-length: 5"})
+    void repeatedContentLengthIsRejectedInHttp10(String lengths) {
+        String head = " HTTP/1.0|Content-Length: " + lengths + "||hello";
+        assertViolates(
+                "more than one Content-Length",
+                decode(new StrictFraming.RequestDecoder(), "POST /" + head));
+        assertViolates(
+                "more than one Content-Length",
+                decode(
+                        new StrictFraming.ResponseDecoder(),
+                        head.replace(" HTTP/1.0", "HTTP/1.0 200 OK")));
+    }
+
+    /** Guards against a body of eight bytes that only Netty sees. */
+    @Test
+    void requestWithImpliedLengthIsRejected() {
+        assertViolates(
+                "a body without Content-Length",
+                decode(
+                        new StrictFraming.RequestDecoder(),
+                        "GET / HTTP/1.1|Sec-WebSocket-Key1: a|Sec-WebSocket-Key2: b||GET /abc"));
+    }
+
     @ParameterizedTest
     @ValueSource(
             strings = {
--- a/balancer/src/test/java/loadbalancer/server/RequestFramingTest.java
+++ b/balancer/src/test/java/loadbalancer/server/RequestFramingTest.java
@@ -60,6 +60,9 @@
                 "HEAD Transfer-Encoding: chunked\r\n\r\nx\r\n",
                 "HEAD Transfer-Encoding: chunked\r\n\r\n100000005\r\nabcde\r\n0\r\n\r\n",
                 "HEAD Transfer-Encoding: chunked\r\n\r\n5 6\r\nabcde\r\n0\r\n\r\n",
+                "HEAD10 Connection: keep-alive\r\nContent-Length: 0\r\nContent-Length: ALL\r\n\r\n",
+                "GET /api/k1 HTTP/1.1\r\nReq-Id: outer\r\nReq-Kind: read\r\nReq-Deadline-Ms: 20000\r\n"
+                        + "Sec-WebSocket-Key1: a\r\nSec-WebSocket-Key2: b\r\n\r\n12345678",
                 "POST /api/k1 HTTP/1.1\r\nReq-Kind: other\r\nContent-Length: 0\r\n\r\n",
                 "POST /api/k1 HTTP/2.0\r\nReq-Id: outer\r\nReq-Kind: book\r\nReq-Deadline-Ms: 20000\r\n\r\n",
                 "POST /api/k1 RTSP/1.0\r\nReq-Id: outer\r\nReq-Kind: book\r\nReq-Deadline-Ms: 20000\r\n\r\n",
