A response whose status code is not three digits is refused

Cause: Netty parses the code with Integer.parseInt and no limit, so that +200, 0200 and the like were served as 200, and 20 or 2000 were statuses.

Change: the response decoder refuses a code of other than three digits; the attempt ends as a reset, like after other responses that can't be read.

--- a/balancer/src/main/java/loadbalancer/proxy/StrictFraming.java
+++ b/balancer/src/main/java/loadbalancer/proxy/StrictFraming.java
@@ -19,6 +19,8 @@
  * FramingException}, and nothing after it on its connection is decoded.
  */
 public final class StrictFraming {
+    private static final int STATUS_CODE_DIGITS = 3;
+
     private StrictFraming() {}
 
     /** Decodes clients' requests. */
@@ -110,12 +112,22 @@
             guard.decode(input, output, () -> super.decode(context, input, output));
         }
 
+        // Netty also accepts a sign, and fewer or more digits.
         @Override
         protected HttpMessage createMessage(String[] startLine) {
             guard.onStartLine();
+            if (!isStatusCode(startLine[1])) {
+                throw new FramingException("status code is not three digits");
+            }
             return super.createMessage(startLine);
         }
 
+        private static boolean isStatusCode(String text) {
+            return text.length() == STATUS_CODE_DIGITS
+                    && text.charAt(0) != '0'
+                    && text.chars().allMatch(character -> character >= '0' && character <= '9');
+        }
+
         @Override
         protected boolean isContentAlwaysEmpty(HttpMessage message) {
             guard.validateFraming(message);
--- a/balancer/src/test/java/loadbalancer/proxy/StrictFramingTest.java
+++ b/balancer/src/test/java/loadbalancer/proxy/StrictFramingTest.java
@@ -102,6 +102,17 @@
                 decode(new StrictFraming.ResponseDecoder(), "HTTP/1.1 200 OK" + field).isFailure());
     }
 
+    /** Guards against codes that Netty reads as 200 and others do not. */
+    @ParameterizedTest
+    @ValueSource(strings = {"2000", "+200", "0200", "20", "020", "-1", "2e2", "4294967496"})
+    void statusCodeOfOtherThanThreeDigitsIsRejected(String code) {
+        assertViolates(
+                "status code is not three digits",
+                decode(
+                        new StrictFraming.ResponseDecoder(),
+                        "HTTP/1.1 " + code + " OK|Content-Length: 0||"));
+    }
+
     @ParameterizedTest
     @ValueSource(strings = {"HTTP/1.10", "HTTP/4294967297.1", "HTTP/1.4294967296", "HTTP/01.1"})
     void versionThatIsNotTwoDigitsIsRejected(String version) {
