Discovery's responses are decoded as strictly as those of upstreams

Cause: a call to discovery used Netty's HttpClientCodec, which has none of the checks of StrictFraming: a chunk size of nine digits was taken for its last eight, so that a list ended where discovery did not end it. Of a response only the head's decoder result was looked at; a poll whose body was malformed waited for its time-out.

Change: the call uses StrictFraming.ResponseDecoder, and closes the connection on any failed part.

Measured: DiscoveryClientTest#listOfAmbiguousLengthIsNotUsed failed in one of its two rows without the change (the chunk size; the list was used), and passes with it, as do the 15 tests of the class.

--- a/balancer/src/main/java/loadbalancer/discovery/DiscoveryCall.java
+++ b/balancer/src/main/java/loadbalancer/discovery/DiscoveryCall.java
@@ -12,9 +12,9 @@
 import io.netty.channel.socket.nio.NioSocketChannel;
 import io.netty.handler.codec.DecoderException;
 import io.netty.handler.codec.http.DefaultFullHttpRequest;
-import io.netty.handler.codec.http.HttpClientCodec;
 import io.netty.handler.codec.http.HttpHeaderNames;
 import io.netty.handler.codec.http.HttpMethod;
+import io.netty.handler.codec.http.HttpRequestEncoder;
 import io.netty.handler.codec.http.HttpVersion;
 import java.net.InetSocketAddress;
 import java.util.concurrent.Future;
@@ -22,6 +22,7 @@
 import loadbalancer.config.EndpointList;
 import loadbalancer.config.EndpointListCodec;
 import loadbalancer.config.InvalidEndpointListException;
+import loadbalancer.proxy.StrictFraming;
 
 /**
  * One HTTP call to discovery on its own connection. A poll ends with the first list; the response
@@ -240,7 +241,8 @@
             newChannel
                     .pipeline()
                     .addLast(
-                            new HttpClientCodec(),
+                            new StrictFraming.ResponseDecoder(),
+                            new HttpRequestEncoder(),
                             new ResponseBodyDecoder(DiscoveryCall.this),
                             frameDecoder,
                             DiscoveryCall.this);
--- a/balancer/src/main/java/loadbalancer/discovery/ResponseBodyDecoder.java
+++ b/balancer/src/main/java/loadbalancer/discovery/ResponseBodyDecoder.java
@@ -11,8 +11,8 @@
 import java.util.List;
 
 /**
- * Passes on the body of a response with status 200, and closes the connection on any other
- * response. Belongs to the pipeline of one call, on the event loop.
+ * Passes on the body of a response with status 200, and closes the connection on any other response
+ * and on a malformed body. Belongs to the pipeline of one call, on the event loop.
  */
 final class ResponseBodyDecoder extends MessageToMessageDecoder<HttpObject> {
     private final DiscoveryCall call;
@@ -23,7 +23,8 @@
 
     @Override
     protected void decode(ChannelHandlerContext context, HttpObject part, List<Object> out) {
-        if (part instanceof HttpResponse response && !isUsable(response)) {
+        if (!part.decoderResult().isSuccess()
+                || (part instanceof HttpResponse response && !isOk(response))) {
             context.close();
             return;
         }
@@ -39,8 +40,7 @@
         }
     }
 
-    private static boolean isUsable(HttpResponse response) {
-        return response.status().code() == HttpResponseStatus.OK.code()
-                && response.decoderResult().isSuccess();
+    private static boolean isOk(HttpResponse response) {
+        return response.status().code() == HttpResponseStatus.OK.code();
     }
 }
--- a/balancer/src/test/java/loadbalancer/discovery/DiscoveryClientTest.java
+++ b/balancer/src/test/java/loadbalancer/discovery/DiscoveryClientTest.java
@@ -323,6 +323,21 @@
         assertEquals("DELTA 44 [c]", nextUpdate());
     }
 
+    /** Guards against a list that ends where discovery did not end it. */
+    @ParameterizedTest
+    @ValueSource(
+            strings = {
+                "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n1%1$08x\r\n%2$s\r\n",
+                "HTTP/1.0 200 OK\r\nContent-Length: %1$d\r\nContent-Length: 999\r\n\r\n%2$s"
+            })
+    void listOfAmbiguousLengthIsNotUsed(String response) throws Exception {
+        String list = listJson(43, true, "ambiguous");
+        FakeHttpServer.ReceivedRequest watch = expectWatchFrom(41);
+        watch.sendRaw(String.format(response, list.length(), list));
+        assertTrue(watch.awaitClosedByPeer(), "the watch is closed");
+        answerNewestWatch(41, listJson(51, true, "whole") + "\n", "COMPLETE 51 [whole]");
+    }
+
     @Test
     void olderRevisionIsIgnored() throws Exception {
         FakeHttpServer.ReceivedRequest watch =
--- a/testbed/src/test/java/loadbalancer/PackageDependenciesTest.java
+++ b/testbed/src/test/java/loadbalancer/PackageDependenciesTest.java
@@ -46,7 +46,7 @@
                     .allow("config", "routing.api", "util")
                     .allow("simulator", "config", "routing.api")
                     .allow("recovery", "config", "routing.api", "storage")
-                    .allow("discovery", "config", "routing.api")
+                    .allow("discovery", "config", "proxy", "routing.api")
                     .allow(
                             "cluster",
                             "admin",
