An endpoint list with a number out of range is rejected

Cause: EndpointListCodec cast numbers from double: a revision over 2^53 became a neighbour, one over 2^63 the largest long, a larger pod_group or boot_ms the largest that fits, and 1e400 the default. The next watch would start at a revision that discovery never had.

Change: rev is at most 2^53, pod_group 31 bits, boot_ms 10^15; a number out of range or without a finite double makes the list invalid, which is logged, and the next watch starts at the last valid revision.

Measured: numberOutOfRangeIsRejected of EndpointListCodecTest fails in its six rows without the change, passes with it.

--- a/balancer/src/main/java/loadbalancer/config/EndpointListCodec.java
+++ b/balancer/src/main/java/loadbalancer/config/EndpointListCodec.java
@@ -41,6 +41,9 @@
 
     private static final long MICROS_PER_MS = 1_000;
     private static final int UNKNOWN_CELL = -1;
+    // Larger whole numbers have no exact double.
+    private static final double MAX_REVISION = 0x1p53;
+    private static final double MAX_STARTED_AT_MS = 1e15;
     private static final JsonFactory JSON_FACTORY = new JsonFactory();
 
     private EndpointListCodec() {}
@@ -148,7 +151,7 @@
     }
 
     private static EndpointList toEndpointList(Map<?, ?> fields, List<EndpointList.Entry> entries) {
-        long revision = (long) finiteNumber(fields.get(REVISION_FIELD), 0);
+        long revision = wholeNumber(fields, REVISION_FIELD, 0, MAX_REVISION);
         boolean complete = Boolean.TRUE.equals(fields.get(COMPLETE_FIELD));
         return new EndpointList(revision, complete, entries);
     }
@@ -164,9 +167,9 @@
                 new Endpoint(
                         id,
                         status,
-                        (long) (finiteNumber(fields.get(STARTED_AT_FIELD), 0) * MICROS_PER_MS),
+                        startedAtMicros(fields),
                         weight > 0 ? weight : 1,
-                        (int) finiteNumber(fields.get(CELL_FIELD), UNKNOWN_CELL),
+                        (int) wholeNumber(fields, CELL_FIELD, UNKNOWN_CELL, Integer.MAX_VALUE),
                         PlatformTerms.indexOfName(
                                 boot.machineTypeNames(), fields.get(MACHINE_TYPE_FIELD)),
                         PlatformTerms.indexOfName(boot.zoneNames(), fields.get(ZONE_FIELD)));
@@ -190,10 +193,34 @@
         }
     }
 
+    private static long startedAtMicros(Map<?, ?> fields) {
+        double startedAtMs = finiteNumber(fields.get(STARTED_AT_FIELD), 0);
+        requireRange(STARTED_AT_FIELD, startedAtMs, MAX_STARTED_AT_MS);
+        return (long) (startedAtMs * MICROS_PER_MS);
+    }
+
+    private static long wholeNumber(
+            Map<?, ?> fields, String name, double defaultValue, double max) {
+        double number = finiteNumber(fields.get(name), defaultValue);
+        requireRange(name, number, max);
+        return (long) number;
+    }
+
+    // A cast would take the nearest value that fits instead.
+    private static void requireRange(String name, double number, double max) {
+        if (Math.abs(number) > max) {
+            throw new InvalidEndpointListException(name + " out of range: " + number);
+        }
+    }
+
     private static double finiteNumber(Object value, double defaultValue) {
-        return value instanceof Number number && Double.isFinite(number.doubleValue())
-                ? number.doubleValue()
-                : defaultValue;
+        if (!(value instanceof Number number)) {
+            return defaultValue;
+        }
+        if (!Double.isFinite(number.doubleValue())) {
+            throw new InvalidEndpointListException("a number out of range");
+        }
+        return number.doubleValue();
     }
 
     private static void requireEntryCount(int entryCount) {
--- a/balancer/src/test/java/loadbalancer/config/EndpointListCodecTest.java
+++ b/balancer/src/test/java/loadbalancer/config/EndpointListCodecTest.java
@@ -212,6 +212,28 @@
         assertEquals("a target without uid", parseError("{\"targets\":[{}]}"));
     }
 
+    /** Guards against a number that is cut to the nearest one that fits, or read inexactly. */
+    @ParameterizedTest
+    @CsvSource({
+        "'\"rev\":7', '\"rev\":9007199254740994', rev out of range: 9.007199254740994E15",
+        "'\"rev\":7', '\"rev\":18446744073709551657', rev out of range: 1.8446744073709552E19",
+        "'\"rev\":7', '\"rev\":1e400', a number out of range",
+        "'\"boot_ms\":1700000000123', '\"boot_ms\":1e17', boot_ms out of range: 1.0E17",
+        "'\"pod_group\":3', '\"pod_group\":4294967299', pod_group out of range: 4.294967299E9",
+        "'\"capacity_hint\":1.35', '\"capacity_hint\":-1e999', a number out of range"
+    })
+    void numberOutOfRangeIsRejected(String field, String outOfRange, String expectedMessage) {
+        String json = listJson(1);
+        assertTrue(json.contains(field), json);
+        assertEquals(expectedMessage, parseError(json.replace(field, outOfRange)));
+    }
+
+    @Test
+    void largestExactRevisionIsDecoded() {
+        String json = listJson(1).replace("\"rev\":7", "\"rev\":9007199254740992");
+        assertEquals(1L << 53, EndpointListCodec.decode(json, BOOT_SETTINGS).revision());
+    }
+
     @Test
     void oversizedListIsRejected() throws IOException {
         assertEquals(
